--- a/libraries/core/result_code.cpp
+++ b/libraries/core/result_code.cpp
@@ -104,6 +104,10 @@
         return "platform_answer_malformed";
     case result_code::platform_throttled:
         return "platform_throttled";
+    case result_code::platform_history_gone:
+        return "platform_history_gone";
+    case result_code::platform_record_malformed:
+        return "platform_record_malformed";
     case result_code::datagram_malformed:
         return "datagram_malformed";
     case result_code::member_unknown:
--- a/libraries/core/result_code.h
+++ b/libraries/core/result_code.h
@@ -67,6 +67,8 @@
     platform_answer_lost = 5004,
     platform_answer_malformed = 5005,
     platform_throttled = 5006,
+    platform_history_gone = 5007,
+    platform_record_malformed = 5008,
 
     // 6xxx: membership.
     datagram_malformed = 6001,
--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -13,7 +13,11 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <charconv>
+#include <cstring>
 #include <map>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <vector>
 
@@ -29,9 +33,18 @@
 constexpr auto to_tuple = asio::as_tuple(asio::use_awaitable);
 
 // Shorter than the servers' idle timeout of 60 s, so that the client is the side that closes.
-constexpr seconds idle_limit{20};
+constexpr milliseconds longest_idle_time{20'000};
 // For requests that must not be sent twice. Long enough for a busy pair of nodes to keep reusing.
 constexpr milliseconds recent_idle_limit{1000};
+// A connection that has gone silent is closed when sent bytes or probes stay unacknowledged.
+using keep_alive_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using keep_alive_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using keep_alive_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using unacknowledged_limit = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+constexpr int keep_alive_seconds = 1;
+constexpr int keep_alive_probes = 2;
+constexpr int unacknowledged_milliseconds = 1500;
+constexpr std::size_t foreign_answers = 4;
 constexpr std::size_t idle_connections_per_address = 32;
 constexpr seconds sweep_period{5};
 
@@ -41,6 +54,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     steady_time last_used;
+    /// How long the server keeps the connection open when it is idle, with a margin.
+    milliseconds idle_limit = longest_idle_time;
 };
 
 using connection_pointer = std::unique_ptr<connection>;
@@ -54,6 +69,20 @@
            candidate.buffer.size() == 0;
 }
 
+// The idle time that the server grants in its Keep-Alive field, less a margin for the way.
+milliseconds keep_alive_time(http::fields const& headers) {
+    auto const field = headers[http::field::keep_alive];
+    auto const place = field.find("timeout=");
+    unsigned granted = 0;
+    if (place == beast::string_view::npos ||
+        std::from_chars(field.data() + place + std::strlen("timeout="), field.data() + field.size(),
+                        granted)
+                .ec != std::errc{}) {
+        return longest_idle_time;
+    }
+    return std::min(longest_idle_time, milliseconds(seconds(granted)) * 7 / 10);
+}
+
 exchange_failure fail(result_code code, socket_address const& address, std::string const& reason,
                       exchange_progress progress) {
     return {error{code, to_string(address) + ": " + reason}, progress};
@@ -64,7 +93,7 @@
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(http::field::host, to_string(address));
+    message.set(http::field::host, request.host.empty() ? to_string(address) : request.host);
     detail::to_beast(request.headers, message);
     message.body() = std::move(request.body);
     message.prepare_payload();
@@ -118,7 +147,7 @@
         while (!idle.empty()) {
             auto candidate = std::move(idle.back());
             idle.pop_back();
-            if (now - candidate->last_used < idle_limit && is_alive(*candidate)) {
+            if (now - candidate->last_used < candidate->idle_limit && is_alive(*candidate)) {
                 if (reuse == connection_reuse::any ||
                     now - candidate->last_used < recent_idle_limit) {
                     return candidate;
@@ -170,7 +199,7 @@
         for (auto entry = this->addresses.begin(); entry != this->addresses.end();) {
             auto& state = entry->second;
             state.open -= std::erase_if(state.idle, [&](connection_pointer const& candidate) {
-                return now - candidate->last_used >= idle_limit;
+                return now - candidate->last_used >= candidate->idle_limit;
             });
             entry = state.open == 0 ? this->addresses.erase(entry) : std::next(entry);
         }
@@ -183,10 +212,11 @@
 
     static asio::awaitable<exchange_result> exchange(std::shared_ptr<implementation> self,
                                                      socket_address address, http_request request,
-                                                     steady_time deadline, connection_reuse reuse) {
+                                                     steady_time deadline,
+                                                     exchange_options options) {
         self->sweep();
         lease used(self, address);
-        used.held = self->take_idle(address, reuse);
+        used.held = self->take_idle(address, options.reuse);
         if (!used.held) {
             used.held = self->make_new(address);
             if (!used.held) {
@@ -194,7 +224,7 @@
                                "all connections are in use", exchange_progress::not_sent);
             }
             boost::system::error_code const refused =
-                co_await connect(*used.held, address, deadline);
+                co_await connect(*used.held, address, deadline, options.connect_timeout);
             if (refused) {
                 co_return fail(result_code::request_connect_failed, address, refused.message(),
                                exchange_progress::not_sent);
@@ -208,44 +238,69 @@
             co_return fail(result_code::request_outcome_unknown, address, unsent.message(),
                            written == 0 ? exchange_progress::not_sent : exchange_progress::sent);
         }
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(self->limits.body_bytes);
-        parser.header_limit(self->limits.header_bytes);
-        parser.skip(message.method() == http::verb::head);
-        auto const [unread, size] =
-            co_await http::async_read(stream, used.held->buffer, parser, to_tuple);
-        if (unread) {
-            bool const has_begun = parser.got_some();
-            co_return fail(has_begun ? result_code::request_answer_incomplete
-                                     : result_code::request_outcome_unknown,
-                           address, unread.message(), exchange_progress::sent);
-        }
-        if (parser.need_eof() && !parser.chunked() && !parser.content_length()) {
-            co_return fail(result_code::request_answer_incomplete, address,
-                           "the answer has no length, so a cut could not be told from its end",
-                           exchange_progress::sent);
-        }
-        auto answer = parser.release();
-        if (answer.keep_alive()) {
-            used.keep();
+        for (std::size_t skipped = 0; skipped <= foreign_answers; ++skipped) {
+            http::response_parser<http::string_body> parser;
+            parser.body_limit(self->limits.body_bytes);
+            parser.header_limit(self->limits.header_bytes);
+            parser.skip(message.method() == http::verb::head);
+            auto const [unread, size] =
+                co_await http::async_read(stream, used.held->buffer, parser, to_tuple);
+            if (unread) {
+                bool const has_begun = parser.got_some();
+                co_return fail(has_begun ? result_code::request_answer_incomplete
+                                         : result_code::request_outcome_unknown,
+                               address, unread.message(), exchange_progress::sent);
+            }
+            bool const is_unframed =
+                parser.need_eof() && !parser.chunked() && !parser.content_length();
+            if (is_unframed && !options.accepts_unframed) {
+                co_return fail(result_code::request_answer_incomplete, address,
+                               "the answer has no length, so a cut could not be told from its end",
+                               exchange_progress::sent);
+            }
+            auto message_read = parser.release();
+            bool const keeps_alive = message_read.keep_alive() && !is_unframed;
+            auto const kept = keep_alive_time(message_read);
+            http_response answer{message_read.result_int(), detail::from_beast(message_read),
+                                 std::move(message_read.body())};
+            if (options.match && options.match(answer) == answer_match::foreign) {
+                if (!keeps_alive) {
+                    break;
+                }
+                continue;
+            }
+            // Bytes behind the answer belong to no request of this client.
+            if (keeps_alive && used.held->buffer.size() == 0) {
+                used.held->idle_limit = kept;
+                used.keep();
+            }
+            co_return answer;
         }
-        co_return http_response{answer.result_int(), detail::from_beast(answer),
-                                std::move(answer.body())};
+        co_return fail(result_code::request_answer_mismatched, address,
+                       "the answers on the connection belong to other requests",
+                       exchange_progress::sent);
     }
 
 private:
     static asio::awaitable<boost::system::error_code>
-    connect(connection& fresh, socket_address const& address, steady_time deadline) {
+    connect(connection& fresh, socket_address const& address, steady_time deadline,
+            milliseconds timeout) {
         boost::system::error_code failed;
         auto const ip = asio::ip::make_address(address.ip, failed);
         if (failed) {
             co_return failed;
         }
-        fresh.stream.expires_at(deadline);
+        fresh.stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + timeout));
         auto const [refused] =
             co_await fresh.stream.async_connect(tcp::endpoint(ip, address.port), to_tuple);
         if (!refused) {
             fresh.stream.socket().set_option(tcp::no_delay(true), failed);
+            fresh.stream.socket().set_option(asio::socket_base::keep_alive(true), failed);
+            fresh.stream.socket().set_option(keep_alive_idle(keep_alive_seconds), failed);
+            fresh.stream.socket().set_option(keep_alive_interval(keep_alive_seconds), failed);
+            fresh.stream.socket().set_option(keep_alive_count(keep_alive_probes), failed);
+            fresh.stream.socket().set_option(unacknowledged_limit(unacknowledged_milliseconds),
+                                             failed);
         }
         co_return refused;
     }
@@ -266,8 +321,17 @@
 asio::awaitable<connection_pool::exchange_result>
 connection_pool::exchange(socket_address address, http_request request, steady_time deadline,
                           connection_reuse reuse) {
+    exchange_options options;
+    options.reuse = reuse;
+    return implementation::exchange(this->self, std::move(address), std::move(request), deadline,
+                                    std::move(options));
+}
+
+asio::awaitable<connection_pool::exchange_result>
+connection_pool::exchange(socket_address address, http_request request, steady_time deadline,
+                          exchange_options options) {
     return implementation::exchange(this->self, std::move(address), std::move(request), deadline,
-                                    reuse);
+                                    std::move(options));
 }
 
 std::size_t connection_pool::connections(socket_address const& address) const {
--- a/libraries/http/connection_pool.h
+++ b/libraries/http/connection_pool.h
@@ -3,6 +3,7 @@
 #include "core/socket_address.h"
 #include "core/time.h"
 #include "http/connection_reuse.h"
+#include "http/exchange_options.h"
 #include "http/exchange_failure.h"
 #include "http/http_limits.h"
 #include "http/http_request.h"
@@ -38,6 +39,11 @@
     exchange(socket_address address, http_request request, steady_time deadline,
              connection_reuse reuse = connection_reuse::any);
 
+    /// The same with more options.
+    boost::asio::awaitable<exchange_result> exchange(socket_address address, http_request request,
+                                                     steady_time deadline,
+                                                     exchange_options options);
+
     /// Open connections to an address, idle ones included.
     std::size_t connections(socket_address const& address) const;
 
--- a/libraries/http/http_limits.h
+++ b/libraries/http/http_limits.h
@@ -11,6 +11,10 @@
     std::size_t body_bytes = std::size_t{1024} * 1024;
     std::uint32_t header_bytes = 16U * 1024U;
     std::size_t connections = 4096;
+    /// Requests of one connection that run at the same time.
+    std::size_t pipelined = 16;
+    /// Time for a whole request from its first byte.
+    milliseconds request_timeout{60'000};
     /// A server closes a connection that stays idle this long. Clients keep theirs for a shorter
     /// time, so that a request seldom meets a connection that is being closed.
     milliseconds idle_timeout{60'000};
--- a/libraries/http/http_request.h
+++ b/libraries/http/http_request.h
@@ -13,6 +13,8 @@
     std::string target = "/";
     header_list headers;
     std::string body;
+    /// The Host field; empty stands for the address that the request is sent to.
+    std::string host;
 };
 
 } // namespace peridot
--- a/libraries/http/http_response.h
+++ b/libraries/http/http_response.h
@@ -12,6 +12,8 @@
     unsigned status = 200;
     header_list headers;
     std::string body;
+    /// Whether the server closes the connection after this answer.
+    bool ends_connection = false;
     /// Released by the server once the answer is written or dropped.
     std::shared_ptr<void const> until_written;
 };
--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -4,10 +4,12 @@
 #include "http/beast_messages.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -18,9 +20,10 @@
 #include <boost/beast/http/write.hpp>
 
 #include <cerrno>
+#include <deque>
 #include <optional>
 #include <sys/socket.h>
-#include <unordered_map>
+#include <unordered_set>
 
 namespace peridot {
 
@@ -30,22 +33,14 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
-using asio::experimental::awaitable_operators::operator||;
 
 constexpr auto to_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned http_version_1_1 = 11;
+constexpr milliseconds sweep_period{1000};
+// Time for the peer to read the last answer and to close its side.
+constexpr milliseconds linger_time{500};
 using port_sharing = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-// Ends when the peer closes the connection. A peer that sends more bytes keeps it open; those bytes
-// belong to the next request, and the watch then waits until it is cancelled.
-asio::awaitable<void> wait_until_closed(tcp::socket& socket) {
-    auto const [failed] = co_await socket.async_wait(tcp::socket::wait_read, to_tuple);
-    boost::system::error_code unreadable;
-    if (!failed && socket.available(unreadable) > 0) {
-        asio::steady_timer never(socket.get_executor(), asio::steady_timer::time_point::max());
-        co_await never.async_wait(to_tuple);
-    }
-}
-
 // Whether the peer has closed the connection already, as after a freeze of this process.
 bool has_left(tcp::socket& socket) {
     char byte = 0;
@@ -108,10 +103,12 @@
         this->is_stopping = true;
     }
 
+    void end_connections() { this->is_stopping = true; }
+
     void close_idle() {
-        for (auto& [stream, is_idle] : this->connections) {
-            if (is_idle) {
-                stream->cancel();
+        for (auto* candidate : this->connections) {
+            if (candidate->is_idle()) {
+                candidate->close();
             }
         }
     }
@@ -119,31 +116,55 @@
     std::size_t requests_in_flight() const { return this->in_flight; }
 
 private:
-    using connection_map = std::unordered_map<beast::tcp_stream*, bool>;
-
-    // Keeps the count of requests right on every way out of a handler, cancellation included.
-    class in_flight_guard {
-    public:
-        in_flight_guard(implementation& server, beast::tcp_stream& stream)
-            : server(server), stream(stream) {
-            ++this->server.in_flight;
-            this->server.connections[&this->stream] = false;
+    // A request of a connection and its place in the order of the answers.
+    struct pending_answer {
+        std::optional<http_response> response;
+        bool is_done = false;
+        bool keeps_alive = true;
+        bool is_head = false;
+        unsigned version = http_version_1_1;
+        asio::cancellation_signal cancel;
+    };
+
+    // A connection: one coroutine reads requests, another writes the answers in their order.
+    struct connection {
+        connection(implementation& owner, tcp::socket socket)
+            : server(owner), stream(std::move(socket)), changed(owner.context) {
+            this->changed.expires_at(asio::steady_timer::time_point::max());
+            this->server.connections.insert(this);
         }
-        ~in_flight_guard() {
-            --this->server.in_flight;
-            this->server.connections[&this->stream] = true;
+        ~connection() { this->server.connections.erase(this); }
+        connection(connection const&) = delete;
+        connection& operator=(connection const&) = delete;
+        connection(connection&&) = delete;
+        connection& operator=(connection&&) = delete;
+
+        bool is_idle() const { return this->pending.empty() && !this->is_receiving; }
+
+        void notify() { this->changed.cancel(); }
+
+        void close() {
+            this->is_closed = true;
+            boost::system::error_code ignored;
+            this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+            this->stream.cancel();
+            this->notify();
         }
-        in_flight_guard(in_flight_guard const&) = delete;
-        in_flight_guard& operator=(in_flight_guard const&) = delete;
-        in_flight_guard(in_flight_guard&&) = delete;
-        in_flight_guard& operator=(in_flight_guard&&) = delete;
 
-    private:
         implementation& server;
-        beast::tcp_stream& stream;
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        std::deque<std::shared_ptr<pending_answer>> pending;
+        asio::steady_timer changed;
+        steady_time last_used = std::chrono::steady_clock::now();
+        bool is_receiving = false;
+        bool reads_no_more = false;
+        bool is_closed = false;
     };
+    using connection_pointer = std::shared_ptr<connection>;
 
     static asio::awaitable<void> accept_loop(std::shared_ptr<implementation> self) {
+        asio::co_spawn(self->context, sweep_loop(self), asio::detached);
         while (self->acceptor.is_open()) {
             auto [failed, socket] = co_await self->acceptor.async_accept(to_tuple);
             if (failed) {
@@ -156,69 +177,104 @@
                 continue;
             }
             socket.set_option(tcp::no_delay(true), failed);
-            asio::co_spawn(self->context, serve(self, std::move(socket)), asio::detached);
+            auto const accepted = std::make_shared<connection>(*self, std::move(socket));
+            asio::co_spawn(self->context, read_loop(self, accepted), asio::detached);
+            asio::co_spawn(self->context, write_loop(self, accepted), asio::detached);
         }
     }
 
-    static asio::awaitable<void> serve(std::shared_ptr<implementation> self, tcp::socket socket) {
-        beast::tcp_stream stream(std::move(socket));
-        beast::flat_buffer buffer;
-        self->connections[&stream] = true;
-        while (co_await self->serve_one(stream, buffer)) {
+    // Closes connections that stay idle too long.
+    static asio::awaitable<void> sweep_loop(std::shared_ptr<implementation> self) {
+        asio::steady_timer timer(self->context);
+        while (self->acceptor.is_open()) {
+            timer.expires_after(sweep_period);
+            co_await timer.async_wait(to_tuple);
+            auto const now = std::chrono::steady_clock::now();
+            for (auto* candidate : self->connections) {
+                if (candidate->is_idle() &&
+                    now - candidate->last_used > self->limits.idle_timeout) {
+                    candidate->close();
+                }
+            }
         }
-        self->connections.erase(&stream);
-        boost::system::error_code ignored;
-        stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     }
 
-    // Serves one request; false when the connection is to be closed.
-    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+    static asio::awaitable<void> read_loop(std::shared_ptr<implementation> self,
+                                           connection_pointer used) {
+        while (!used->is_closed && co_await self->read_one(used)) {
+            while (!used->is_closed && used->pending.size() >= self->limits.pipelined) {
+                co_await used->changed.async_wait(to_tuple);
+            }
+        }
+        if (!used->reads_no_more) {
+            // The peer has left: nobody waits for the answers any more.
+            for (auto const& answer : used->pending) {
+                answer->cancel.emit(asio::cancellation_type::terminal);
+            }
+            used->close();
+        }
+        used->notify();
+    }
+
+    // Reads one request and starts its handler; false when no more requests are to be read.
+    asio::awaitable<bool> read_one(connection_pointer const& used) {
+        auto& stream = used->stream;
+        if (used->buffer.size() == 0) {
+            auto const [failed] = co_await stream.socket().async_wait(tcp::socket::wait_read, to_tuple);
+            if (failed || has_left(stream.socket())) {
+                co_return false;
+            }
+        }
         http::request_parser<http::string_body> parser;
         parser.body_limit(this->limits.body_bytes);
         parser.header_limit(this->limits.header_bytes);
-        stream.expires_after(this->limits.idle_timeout);
-        auto const [unreadable, size] = co_await http::async_read(stream, buffer, parser, to_tuple);
+        used->is_receiving = true;
+        stream.expires_after(this->limits.request_timeout);
+        auto const [unreadable, size] =
+            co_await http::async_read(stream, used->buffer, parser, to_tuple);
+        used->is_receiving = false;
         if (unreadable) {
-            if (is_protocol_error(unreadable)) {
-                co_await this->write(stream, refuse_malformed(unreadable), 11, false, false);
+            if (!is_protocol_error(unreadable)) {
+                co_return false;
             }
+            auto const refused = std::make_shared<pending_answer>();
+            refused->response = refuse_malformed(unreadable);
+            refused->keeps_alive = false;
+            refused->is_done = true;
+            used->pending.push_back(refused);
+            used->reads_no_more = true;
             co_return false;
         }
         stream.expires_never();
         if (has_left(stream.socket())) {
             co_return false;
         }
-        auto message = parser.release();
-        in_flight_guard const guard(*this, stream);
-        bool const keeps_alive = message.keep_alive();
-        unsigned const version = message.version();
-        bool const is_head = message.method() == http::verb::head;
-        auto const response = co_await this->run_handler(stream, std::move(message));
-        if (!response) {
-            co_return false;
-        }
-        bool const stays_open = keeps_alive && !this->is_stopping;
-        co_return co_await this->write(stream, *response, version, stays_open, is_head);
+        this->start_handler(used, parser.release());
+        co_return true;
     }
 
-    // No value when the caller disconnected first, or the handler failed.
-    asio::awaitable<std::optional<http_response>>
-    run_handler(beast::tcp_stream& stream, http::request<http::string_body> message) {
+    void start_handler(connection_pointer const& used, http::request<http::string_body> message) {
+        auto const answer = std::make_shared<pending_answer>();
+        answer->keeps_alive = message.keep_alive();
+        answer->version = message.version();
+        answer->is_head = message.method() == http::verb::head;
         http_request request{std::string(message.method_string()), std::string(message.target()),
-                             detail::from_beast(message), std::move(message.body())};
-        auto outcome =
-            co_await (this->run_guarded(std::move(request)) || wait_until_closed(stream.socket()));
-        if (outcome.index() != 0) {
-            co_return std::nullopt;
-        }
-        co_return std::move(*std::get_if<0>(&outcome));
+                             detail::from_beast(message), std::move(message.body()),
+                             std::string(message[http::field::host])};
+        used->pending.push_back(answer);
+        ++this->in_flight;
+        asio::co_spawn(this->context,
+                       run_handler(this->shared_from_this(), used, answer, std::move(request)),
+                       asio::bind_cancellation_slot(answer->cancel.slot(), asio::detached));
     }
 
-    // No value when the handler threw, so that its connection is closed. The operator || would take
-    // an exception for a branch that lost, and go on to wait for the caller to leave.
-    asio::awaitable<std::optional<http_response>> run_guarded(http_request request) {
+    // An answer without a response closes its connection.
+    static asio::awaitable<void> run_handler(std::shared_ptr<implementation> self,
+                                             connection_pointer used,
+                                             std::shared_ptr<pending_answer> answer,
+                                             http_request request) {
         try {
-            co_return co_await this->respond(std::move(request));
+            answer->response = co_await self->respond(std::move(request));
         } catch (boost::system::system_error const& ended) {
             // Cancelled, because the caller has left.
             if (ended.code() != asio::error::operation_aborted) {
@@ -227,29 +283,82 @@
         } catch (std::exception const& fault) {
             log::write(log::level::error, "request_handler_failed", {{"reason", fault.what()}});
         }
-        co_return std::nullopt;
+        answer->is_done = true;
+        --self->in_flight;
+        used->notify();
+    }
+
+    static asio::awaitable<void> write_loop(std::shared_ptr<implementation> self,
+                                            connection_pointer used) {
+        for (;;) {
+            while (!used->is_closed && (used->pending.empty() || !used->pending.front()->is_done)) {
+                co_await used->changed.async_wait(to_tuple);
+            }
+            if (used->is_closed) {
+                co_return;
+            }
+            auto const answer = used->pending.front();
+            if (!answer->response) {
+                break;
+            }
+            // While the server stops, the last answer that is due ends the connection.
+            bool const is_last = used->pending.size() == 1;
+            bool const stays_open = answer->keeps_alive && !answer->response->ends_connection &&
+                                    !(self->is_stopping && is_last);
+            bool const is_written =
+                co_await self->write(used->stream, *answer, stays_open);
+            used->pending.pop_front();
+            used->last_used = std::chrono::steady_clock::now();
+            used->notify();
+            if (!is_written) {
+                break;
+            }
+            if (!stays_open) {
+                co_await end_after_answer(self, used);
+                co_return;
+            }
+        }
+        used->close();
     }
 
-    asio::awaitable<bool> write(beast::tcp_stream& stream, http_response const& response,
-                                unsigned version, bool stays_open, bool is_head) {
-        http::response<http::string_body> message(http::int_to_status(response.status), version);
+    // Closing with unread bytes would reset the connection and could take the answer with it, so the
+    // sending side closes first and the peer gets time to close its own.
+    static asio::awaitable<void> end_after_answer(std::shared_ptr<implementation> self,
+                                                  connection_pointer used) {
+        for (auto const& answer : used->pending) {
+            answer->cancel.emit(asio::cancellation_type::terminal);
+        }
+        used->reads_no_more = true;
+        boost::system::error_code ignored;
+        used->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        asio::steady_timer linger(self->context, linger_time);
+        co_await linger.async_wait(to_tuple);
+        used->close();
+    }
+
+    asio::awaitable<bool> write(beast::tcp_stream& stream, pending_answer const& answer,
+                                bool stays_open) {
+        auto const& response = *answer.response;
+        http::response<http::string_body> message(http::int_to_status(response.status),
+                                                  answer.version);
+        message.result(response.status);
         detail::to_beast(response.headers, message);
         message.keep_alive(stays_open);
         message.body() = response.body;
         message.prepare_payload();
-        if (is_head) {
+        if (answer.is_head) {
             message.body().clear();
         }
         stream.expires_after(this->limits.idle_timeout);
         auto const [failed, size] = co_await http::async_write(stream, message, to_tuple);
-        co_return !failed && stays_open;
+        co_return !failed;
     }
 
     asio::io_context& context;
     tcp::acceptor acceptor;
     handler respond;
     http_limits limits;
-    connection_map connections;
+    std::unordered_set<connection*> connections;
     std::size_t in_flight = 0;
     bool is_stopping = false;
 };
@@ -269,6 +378,10 @@
     this->self->stop_accepting();
 }
 
+void http_server::end_connections() {
+    this->self->end_connections();
+}
+
 void http_server::close_idle() {
     this->self->close_idle();
 }
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -37,6 +37,9 @@
     /// are idle stay open until close_idle(), since a request may be on its way on them.
     void stop_accepting();
 
+    /// Ends each connection with its next answer; new connections are still taken.
+    void end_connections();
+
     /// Closes the connections that wait for a request.
     void close_idle();
 
--- /dev/null
+++ b/libraries/mesh/caller_limits.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstddef>
+
+namespace peridot {
+
+/// Bounds on what a caller may send and on how long it may take or stay idle.
+struct caller_limits {
+    std::size_t header_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{64} * 1024 * 1024;
+    milliseconds header_timeout{3'000};
+    milliseconds idle_timeout{15'000};
+
+    bool operator==(caller_limits const&) const = default;
+};
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/mesh/gate_queue.cpp
@@ -0,0 +1,239 @@
+#include "mesh/gate_queue.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <queue>
+#include <unordered_map>
+
+namespace peridot {
+
+namespace {
+
+// Requests that wait at most; memory is bounded by it, time by the expected waits.
+constexpr std::size_t longest_queue = 256;
+// Weight of the newest service time in the mean of its route.
+constexpr double service_time_weight = 0.1;
+constexpr milliseconds unknown_service_time{100};
+// A level of priority counts as much as this much more time until the answer loses value.
+constexpr milliseconds priority_step{100};
+constexpr milliseconds shortest_retry_after{50};
+constexpr milliseconds longest_retry_after{2000};
+// A running request is expected to need at least this part of the mean time from now on.
+constexpr double least_remainder = 0.2;
+
+milliseconds to_milliseconds(nanoseconds time) {
+    return std::chrono::duration_cast<milliseconds>(time);
+}
+
+} // namespace
+
+class gate_queue::implementation {
+public:
+    struct running_request {
+        std::string route;
+        boot_time started;
+    };
+
+    // The order in which waiting requests get slots.
+    static boot_time urgency(gate_request const& request) {
+        return request.target_at + request.priority * priority_step;
+    }
+
+    nanoseconds mean_time(std::string const& route) const {
+        auto const found = this->service_times.find(route);
+        if (found != this->service_times.end()) {
+            return found->second;
+        }
+        return this->overall_time.count() > 0 ? this->overall_time : unknown_service_time;
+    }
+
+    void learn(std::string const& route, nanoseconds taken) {
+        auto const mix = [](nanoseconds mean, nanoseconds sample) {
+            return nanoseconds(static_cast<std::int64_t>(
+                static_cast<double>(mean.count()) * (1 - service_time_weight) +
+                static_cast<double>(sample.count()) * service_time_weight));
+        };
+        auto const [place, is_new] = this->service_times.emplace(route, taken);
+        if (!is_new) {
+            place->second = mix(place->second, taken);
+        }
+        this->overall_time =
+            this->overall_time.count() == 0 ? taken : mix(this->overall_time, taken);
+    }
+
+    // The moments at which the slots become free, as far as can be foreseen.
+    using slot_times = std::priority_queue<boot_time, std::vector<boot_time>, std::greater<>>;
+    slot_times free_slots(boot_time now) const {
+        slot_times times;
+        for (auto const& [id, request] : this->running) {
+            auto const mean = this->mean_time(request.route);
+            auto const least = nanoseconds(
+                static_cast<std::int64_t>(static_cast<double>(mean.count()) * least_remainder));
+            times.push(now + std::max(mean - (now - request.started), least));
+        }
+        for (std::size_t index = this->running.size(); index < this->slots; ++index) {
+            times.push(now);
+        }
+        return times;
+    }
+
+    // When the request would be answered; the queue's later requests do not matter for it.
+    boot_time expected_start(gate_request const& request, boot_time now) const {
+        auto times = this->free_slots(now);
+        bool const is_late = this->is_late(request, now);
+        for (auto const& waiting : this->queue) {
+            if (!this->comes_before(waiting, request, is_late, now)) {
+                continue;
+            }
+            auto const start = times.top();
+            times.pop();
+            times.push(start + this->mean_time(waiting.route));
+        }
+        return std::max(now, times.top());
+    }
+
+    bool is_late(gate_request const& request, boot_time now) const {
+        return now + this->mean_time(request.route) > request.target_at;
+    }
+
+    bool comes_before(gate_request const& first, gate_request const& second, bool second_is_late,
+                      boot_time now) const {
+        bool const first_is_late = this->is_late(first, now);
+        if (first_is_late != second_is_late) {
+            return second_is_late;
+        }
+        return urgency(first) <= urgency(second);
+    }
+
+    void start(gate_request const& request, boot_time now) {
+        this->running.emplace(request.id, running_request{request.route, now});
+    }
+
+    static gate_refusal overloaded(nanoseconds wait) {
+        return {result_code::request_overloaded,
+                std::clamp(to_milliseconds(wait) / 2, shortest_retry_after, longest_retry_after)};
+    }
+
+    unsigned slots = 0;
+    std::vector<gate_request> queue;
+    std::unordered_map<std::uint64_t, running_request> running;
+    std::map<std::string, nanoseconds, std::less<>> service_times;
+    nanoseconds overall_time{0};
+};
+
+gate_queue::gate_queue() : self(std::make_unique<implementation>()) {}
+
+gate_queue::~gate_queue() = default;
+
+void gate_queue::set_slots(unsigned slots) {
+    this->self->slots = slots;
+}
+
+gate_decision gate_queue::offer(gate_request request, boot_time now) {
+    auto& own = *this->self;
+    if (own.slots == 0) {
+        return gate_refusal{result_code::request_no_endpoint, shortest_retry_after};
+    }
+    auto const needed = own.mean_time(request.route);
+    if (now >= request.deadline) {
+        return gate_refusal{result_code::request_deadline_exceeded, {}};
+    }
+    if (own.queue.empty() && own.running.size() < own.slots) {
+        own.start(request, now);
+        return gate_start{};
+    }
+    auto const start = own.expected_start(request, now);
+    auto const limit = std::min(request.finish_by, request.deadline);
+    if (start + needed > limit || own.queue.size() >= longest_queue) {
+        return implementation::overloaded(start - now);
+    }
+    own.queue.push_back(std::move(request));
+    return gate_wait{};
+}
+
+void gate_queue::finish(std::uint64_t id, bool is_answered, boot_time now) {
+    auto const found = this->self->running.find(id);
+    if (found == this->self->running.end()) {
+        return;
+    }
+    if (is_answered) {
+        this->self->learn(found->second.route, now - found->second.started);
+    }
+    this->self->running.erase(found);
+}
+
+void gate_queue::withdraw(std::uint64_t id) {
+    std::erase_if(this->self->queue,
+                  [id](gate_request const& waiting) { return waiting.id == id; });
+}
+
+gate_queue::departures gate_queue::dispatch(boot_time now) {
+    auto& own = *this->self;
+    departures leaving;
+    std::ranges::sort(own.queue, [&](gate_request const& first, gate_request const& second) {
+        bool const first_is_late = own.is_late(first, now);
+        bool const second_is_late = own.is_late(second, now);
+        return first_is_late != second_is_late
+                   ? second_is_late
+                   : implementation::urgency(first) < implementation::urgency(second);
+    });
+    auto times = own.slots == 0 ? implementation::slot_times{} : own.free_slots(now);
+    std::vector<gate_request> staying;
+    for (auto& waiting : own.queue) {
+        if (own.slots == 0) {
+            leaving.refused.emplace_back(
+                waiting.id, gate_refusal{result_code::request_no_endpoint, shortest_retry_after});
+            continue;
+        }
+        auto const start = times.top();
+        if (now >= waiting.deadline || start + own.mean_time(waiting.route) > waiting.deadline) {
+            leaving.refused.emplace_back(waiting.id, implementation::overloaded(start - now));
+            continue;
+        }
+        times.pop();
+        times.push(start + own.mean_time(waiting.route));
+        if (own.running.size() < own.slots) {
+            own.start(waiting, now);
+            leaving.started.push_back(waiting.id);
+        } else {
+            staying.push_back(std::move(waiting));
+        }
+    }
+    own.queue = std::move(staying);
+    return leaving;
+}
+
+gate_queue::departures gate_queue::refuse_all(result_code reason) {
+    departures leaving;
+    for (auto const& waiting : this->self->queue) {
+        leaving.refused.emplace_back(waiting.id, gate_refusal{reason, shortest_retry_after});
+    }
+    this->self->queue.clear();
+    return leaving;
+}
+
+gate_load gate_queue::load(boot_time now) const {
+    auto const& own = *this->self;
+    gate_load current;
+    current.in_use = static_cast<unsigned>(own.running.size());
+    current.waiting = static_cast<unsigned>(own.queue.size());
+    current.slots = own.slots;
+    current.service_time = to_milliseconds(own.overall_time);
+    if (own.slots > 0 && own.running.size() >= own.slots) {
+        auto times = own.free_slots(now);
+        for (auto const& waiting : own.queue) {
+            auto const start = times.top();
+            times.pop();
+            times.push(start + own.mean_time(waiting.route));
+        }
+        current.wait = to_milliseconds(std::max(now, times.top()) - now);
+    }
+    return current;
+}
+
+milliseconds gate_queue::service_time(std::string const& route) const {
+    return to_milliseconds(this->self->mean_time(route));
+}
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/mesh/gate_queue.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "mesh/gate_decision.h"
+#include "mesh/gate_load.h"
+#include "mesh/gate_request.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace peridot {
+
+/// Decides which requests get the slots of the target beside the node, which wait and which are
+/// refused. It answers the load pattern in which more work arrives than the target can do: a queue
+/// in order of arrival then makes every answer late, and work is done whose caller has left.
+///
+/// The target never gets more requests than it has slots, since a target that cannot queue a request
+/// may leave its connection without any answer. Requests wait in the order in which their answers
+/// lose value; those that can no longer be in time come last. A request that is not expected to be
+/// answered by its own limit is refused at once instead of being held until it has expired.
+///
+/// One thread uses it; the time is an argument.
+class gate_queue {
+public:
+    gate_queue();
+    ~gate_queue();
+    gate_queue(gate_queue const&) = delete;
+    gate_queue& operator=(gate_queue const&) = delete;
+    gate_queue(gate_queue&&) = delete;
+    gate_queue& operator=(gate_queue&&) = delete;
+
+    /// Requests that the target takes at the same time; zero while there is no target.
+    void set_slots(unsigned slots);
+
+    /// Decides on a new request. gate_start takes a slot.
+    gate_decision offer(gate_request request, boot_time now);
+
+    /// Gives back the slot of a request. A request that was answered tells how long its route takes.
+    void finish(std::uint64_t id, bool is_answered, boot_time now);
+
+    /// Forgets a waiting request whose caller has left.
+    void withdraw(std::uint64_t id);
+
+    /// The requests that leave the queue now: those that get a slot and those that are refused.
+    struct departures {
+        std::vector<std::uint64_t> started;
+        std::vector<std::pair<std::uint64_t, gate_refusal>> refused;
+    };
+    departures dispatch(boot_time now);
+
+    /// Refuses every waiting request, as when the target leaves.
+    departures refuse_all(result_code reason);
+
+    gate_load load(boot_time now) const;
+
+    /// Mean time that the target takes for a request of the route.
+    milliseconds service_time(std::string const& route) const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/mesh/mesh_configuration.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "mesh/caller_limits.h"
+#include "mesh/mesh_route.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridot {
+
+/// A whole version of the configuration, ready for look-ups. It never changes once it is built.
+class mesh_configuration {
+public:
+    /// Services map to the connections that one of their targets accepts.
+    mesh_configuration(std::uint64_t version, std::vector<mesh_route> routes,
+                       std::map<std::string, std::size_t> services, caller_limits limits);
+    ~mesh_configuration();
+    mesh_configuration(mesh_configuration const&) = delete;
+    mesh_configuration& operator=(mesh_configuration const&) = delete;
+    mesh_configuration(mesh_configuration&&) = delete;
+    mesh_configuration& operator=(mesh_configuration&&) = delete;
+
+    std::uint64_t version() const;
+
+    /// The route of the host with the longest prefix that begins the path; null if there is none.
+    /// A port in the host and the query of the path are ignored.
+    mesh_route const* find(std::string_view host, std::string_view path) const;
+
+    std::size_t route_count() const;
+    /// Connections that a target of the service accepts; zero for an unknown service.
+    std::size_t connections(std::string_view service) const;
+    caller_limits const& limits() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/mesh/request_kind.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace peridot {
+
+/// Whether a request may run more than once.
+enum class request_kind : std::uint8_t { idempotent, non_idempotent };
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/mesh/row_replica.cpp
@@ -0,0 +1,71 @@
+#include "mesh/row_replica.h"
+
+#include <algorithm>
+#include <set>
+
+namespace peridot {
+
+bool row_replica::apply(replica_row row) {
+    auto const place = std::pair(row.table, row.key);
+    auto const found = this->held.find(place);
+    if (found != this->held.end() && found->second.revision >= row.revision) {
+        return false;
+    }
+    this->held[place] = std::move(row);
+    return true;
+}
+
+bool row_replica::replace_table(std::string_view table, std::vector<replica_row> rows,
+                                std::uint64_t revision) {
+    std::set<std::string> present;
+    bool is_changed = false;
+    for (auto& row : rows) {
+        present.insert(row.key);
+        is_changed |= this->apply(std::move(row));
+    }
+    for (auto& [place, row] : this->held) {
+        if (place.first == table && !row.is_removed && row.revision <= revision &&
+            !present.contains(place.second)) {
+            row.is_removed = true;
+            row.value.clear();
+            is_changed = true;
+        }
+    }
+    return is_changed;
+}
+
+replica_row const* row_replica::find(std::string_view table, std::string_view key) const {
+    auto const found = this->held.find(std::pair(std::string(table), std::string(key)));
+    return found == this->held.end() || found->second.is_removed ? nullptr : &found->second;
+}
+
+std::vector<replica_row const*> row_replica::rows(std::string_view table,
+                                                  std::string_view prefix) const {
+    std::vector<replica_row const*> found;
+    for (auto const& [place, row] : this->held) {
+        if (place.first == table && place.second.starts_with(prefix) && !row.is_removed) {
+            found.push_back(&row);
+        }
+    }
+    return found;
+}
+
+std::vector<replica_row const*> row_replica::rows_after(std::uint64_t revision) const {
+    std::vector<replica_row const*> found;
+    for (auto const& [place, row] : this->held) {
+        if (row.revision > revision) {
+            found.push_back(&row);
+        }
+    }
+    return found;
+}
+
+std::uint64_t row_replica::newest() const {
+    std::uint64_t newest = 0;
+    for (auto const& [place, row] : this->held) {
+        newest = std::max(newest, row.revision);
+    }
+    return newest;
+}
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/mesh/target_selector.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/boot_clock.h"
+#include "core/random_source.h"
+#include "mesh/gate_load.h"
+#include "mesh/member.h"
+#include "mesh/target_choice.h"
+#include "mesh/target_observation.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace peridot {
+
+/// Chooses the member that a request is tried at next, from what this node has seen of each.
+///
+/// It answers load that is uneven over availability zones and targets that fail or slow down one by
+/// one. The own availability zone comes first, since bytes between zones cost time and money, and a
+/// member elsewhere is tried when those near by are known or found to be unable to answer in time.
+/// Members are first asked for an answer in time; only when none can give it, the one with the
+/// shortest wait is asked for an answer by the deadline.
+///
+/// One thread uses it; the time and the random source are arguments.
+class target_selector {
+public:
+    explicit target_selector(std::string availability_zone);
+    ~target_selector();
+    target_selector(target_selector const&) = delete;
+    target_selector& operator=(target_selector const&) = delete;
+    target_selector(target_selector&&) = delete;
+    target_selector& operator=(target_selector&&) = delete;
+
+    /// What has been tried for one request.
+    struct attempts {
+        /// Instances that may not get the request again.
+        std::set<std::string> excluded;
+        /// Instances that could not answer in time.
+        std::set<std::string> busy;
+    };
+
+    /// The next member to try among the given ones; no value when none is left.
+    std::optional<target_choice> choose(std::vector<member const*> const& candidates,
+                                        attempts const& so_far, boot_time now,
+                                        random_source& random);
+
+    /// Counts a request on its way to the member.
+    void start(std::string const& instance);
+    void finish(std::string const& instance);
+
+    /// Learns from an attempt; wait is the member's own expectation where it gave one.
+    void observe(std::string const& instance, target_observation seen, boot_time now);
+    void observe_load(std::string const& instance, gate_load const& load, boot_time now);
+
+    /// Forgets the failures of a member whose record has changed.
+    void forget_failures(std::string const& instance);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/mesh/version_share.cpp
@@ -0,0 +1,64 @@
+#include "mesh/version_share.h"
+
+#include <algorithm>
+
+namespace peridot {
+
+namespace {
+
+// The version that most members run; of equal counts the one that was registered first.
+std::string most_common(std::vector<member> const& members, std::string const& except) {
+    std::map<std::string, std::size_t> counts;
+    std::map<std::string, std::uint64_t> first_seen;
+    for (auto const& candidate : members) {
+        auto const& version = candidate.target.version;
+        if (version == except) {
+            continue;
+        }
+        ++counts[version];
+        auto const [place, is_new] = first_seen.emplace(version, candidate.revision);
+        place->second = std::min(place->second, candidate.revision);
+    }
+    std::string best;
+    for (auto const& [version, count] : counts) {
+        bool const is_better = best.empty() || count > counts[best] ||
+                               (count == counts[best] && first_seen[version] < first_seen[best]);
+        if (is_better) {
+            best = version;
+        }
+    }
+    return best;
+}
+
+bool has_version(std::vector<member> const& members, std::string const& version) {
+    return std::ranges::any_of(members, [&](member const& candidate) {
+        return candidate.target.version == version && candidate.target.state == target_state::ready;
+    });
+}
+
+} // namespace
+
+std::map<std::string, double> version_shares(std::vector<member> const& members,
+                                             rollout const* current) {
+    if (current == nullptr) {
+        return {{most_common(members, {}), 1.0}};
+    }
+    std::string const old = most_common(members, current->to);
+    switch (current->phase) {
+    case rollout_phase::rolled_back:
+        return {{old, 1.0}};
+    case rollout_phase::complete:
+        return {{current->to, 1.0}};
+    case rollout_phase::running:
+        break;
+    }
+    if (current->share <= 0 || !has_version(members, current->to)) {
+        return {{old, 1.0}};
+    }
+    if (current->share >= 1 || old.empty()) {
+        return {{current->to, 1.0}};
+    }
+    return {{old, 1.0 - current->share}, {current->to, current->share}};
+}
+
+} // namespace peridot
--- a/libraries/settings/settings_reader.cpp
+++ b/libraries/settings/settings_reader.cpp
@@ -73,6 +73,16 @@
     return list;
 }
 
+std::map<std::string, double> settings_reader::numbers(std::string_view key) const {
+    std::map<std::string, double> read;
+    for (auto const& [name, item] : this->object.at(key).get_object()) {
+        if (item.is_number()) {
+            read[name] = item.to_number<double>();
+        }
+    }
+    return read;
+}
+
 std::string settings_reader::ip(std::string_view key) {
     std::string address = this->text(key);
     if (!is_numeric_ip(address)) {
@@ -84,6 +94,18 @@
     return address;
 }
 
+socket_address settings_reader::address_text(std::string_view key) {
+    auto const parsed = parse_socket_address(this->text(key));
+    if (!is_ok(parsed)) {
+        this->remember(settings_problem{result_code::settings_invalid,
+                                        {},
+                                        this->base + "/" + std::string(key),
+                                        "out of range: must be \"ip:port\"."});
+        return {};
+    }
+    return value(parsed);
+}
+
 socket_address settings_reader::own_address() {
     return {this->ip("ip"), this->port("port")};
 }
--- a/libraries/settings/settings_reader.h
+++ b/libraries/settings/settings_reader.h
@@ -9,6 +9,7 @@
 #include <boost/json/object.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,9 +31,13 @@
     milliseconds time(std::string_view key, milliseconds otherwise) const;
     log::level log_level() const;
     std::vector<std::string> texts(std::string_view key) const;
+    /// The members of the object under the key that are numbers.
+    std::map<std::string, double> numbers(std::string_view key) const;
 
     /// The numeric IP address under the key.
     std::string ip(std::string_view key);
+    /// The address under the key, written as "ip:port".
+    socket_address address_text(std::string_view key);
     /// The address made of the object's own keys "ip" and "port".
     socket_address own_address();
     /// The address object under the key.
--- /dev/null
+++ b/libraries/sidecar/call_entry.cpp
@@ -0,0 +1,429 @@
+#include "sidecar/call_entry.h"
+
+#include "core/log.h"
+#include "http/connection_pool.h"
+#include "mesh/mesh_configuration.h"
+#include "mesh/target_selector.h"
+#include "mesh/version_share.h"
+#include "mesh/weighted_choice.h"
+#include "platform/messages.h"
+#include "routing/retry_budget.h"
+#include "sidecar/hop_message.h"
+#include "sidecar/target_gate.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace peridot {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr milliseconds connect_timeout{250};
+// Another node answers at the deadline by itself; its answer gets this long to arrive.
+constexpr milliseconds hop_margin{30};
+// Members that one request is offered to at most, those that refuse included.
+constexpr unsigned longest_search = 6;
+// A caller without a deadline of its own waits as long as the route allows.
+constexpr milliseconds longest_wait{120'000};
+constexpr milliseconds unready_retry_after{300};
+constexpr milliseconds no_target_retry_after{250};
+constexpr unsigned first_failure_status = 500;
+// A part of the ratio stays unused, since calls that a repeated request makes count as repeats too.
+constexpr double used_part_of_budget = 0.5;
+
+namespace status_codes {
+constexpr unsigned malformed = 400;
+constexpr unsigned no_route = 404;
+constexpr unsigned bad_gateway = 502;
+constexpr unsigned unavailable = 503;
+constexpr unsigned gateway_timeout = 504;
+} // namespace status_codes
+
+} // namespace
+
+class call_entry::implementation {
+public:
+    implementation(entry_identity own, deployment_bounds const& figures,
+                   rcu_cell<fleet_view> const& fleet, connection_pool& pool, target_gate& own_gate,
+                   newer_function notice)
+        : identity(std::move(own))
+        , bounds(figures)
+        , views(fleet)
+        , connections(pool)
+        , gate(own_gate)
+        , notice_newer(std::move(notice))
+        , selector(this->identity.availability_zone) {}
+
+    // A request while it is offered to one member after another.
+    struct routed_call {
+        std::shared_ptr<fleet_view const> view;
+        /// Owns the route; a request stays with the configuration that it began with.
+        std::shared_ptr<mesh_configuration const> configuration;
+        mesh_route const* route = nullptr;
+        std::string service;
+        /// The target version that the shares of a roll-out give the request; empty until chosen.
+        std::string version;
+        gate_call call;
+        http_request request;
+        boot_time arrived;
+        target_selector::attempts attempts;
+        /// Times that the request reached a target.
+        unsigned sends = 0;
+        bool may_have_run = false;
+        std::optional<http_response> failure;
+        milliseconds retry_after = no_target_retry_after;
+        result_code reason = result_code::request_no_endpoint;
+    };
+
+    asio::awaitable<http_response> respond(http_request request) {
+        auto const arrived = boot_clock::now();
+        auto const caller = read_caller_request(request);
+        if (!caller) {
+            co_return make_own_answer(status_codes::malformed, {}, std::nullopt);
+        }
+        auto view = this->views.load();
+        if (!view || !view->configuration) {
+            co_return make_own_answer(status_codes::unavailable, caller->attempt_id,
+                                      unready_retry_after);
+        }
+        auto const* route = view->configuration->find(request.host, request.target);
+        if (route == nullptr) {
+            log::write(log::level::info, "request_without_route",
+                       {{"request", caller->attempt_id},
+                        {"host", request.host},
+                        {"path", request.target},
+                        {"configuration",
+                         static_cast<std::int64_t>(view->configuration->version())}});
+            co_return make_own_answer(status_codes::no_route, caller->attempt_id, std::nullopt);
+        }
+        routed_call routed;
+        routed.view = view;
+        routed.configuration = view->configuration;
+        routed.route = route;
+        routed.service = this->choose_service(*route);
+        routed.request = std::move(request);
+        routed.arrived = arrived;
+        this->fill_call(routed, *caller);
+        this->budget(routed.service).record_request();
+        co_return co_await this->place(std::move(routed));
+    }
+
+private:
+    void fill_call(routed_call& routed, caller_request const& caller) const {
+        auto& call = routed.call;
+        auto const left = std::min(caller.time_left.value_or(longest_wait), routed.route->timeout);
+        call.attempt_id = caller.attempt_id;
+        call.route = routed.route->name;
+        call.kind = routed.route->kind;
+        call.priority = routed.route->priority;
+        call.calling_service = this->identity.service;
+        call.sender = this->identity.ip;
+        call.deadline = routed.arrived + left;
+        call.target_at = routed.arrived + std::min(routed.route->target_latency, left);
+    }
+
+    asio::awaitable<http_response> place(routed_call routed) {
+        for (unsigned tried = 0; tried < longest_search; ++tried) {
+            auto const now = boot_clock::now();
+            if (now >= routed.call.deadline) {
+                break;
+            }
+            auto const choice = this->choose(routed, now);
+            if (!choice) {
+                break;
+            }
+            member const chosen = *choice->chosen;
+            routed.call.target_id = chosen.target.id;
+            routed.call.finish_by = choice->limit == wait_limit::target_latency
+                                        ? routed.call.target_at
+                                        : routed.call.deadline;
+            auto answer = co_await this->offer(chosen, routed);
+            auto final = std::visit(
+                [&](auto& outcome) { return this->conclude(outcome, chosen, choice->limit, routed); },
+                answer);
+            if (final) {
+                co_return std::move(*final);
+            }
+        }
+        co_return this->give_up(routed);
+    }
+
+    std::string choose_service(mesh_route const& route) {
+        if (route.services.size() == 1) {
+            return route.services.front().service;
+        }
+        std::vector<double> weights;
+        for (auto const& part : route.services) {
+            weights.push_back(part.weight);
+        }
+        return route.services[this->service_choices[route.name].next(weights)].service;
+    }
+
+    std::optional<target_choice> choose(routed_call& routed, boot_time now) {
+        // Members come and go while a request is under way, so the newest view counts.
+        routed.view = this->views.load();
+        auto const found = routed.view->members.find(routed.service);
+        if (found == routed.view->members.end()) {
+            return std::nullopt;
+        }
+        auto const rolled = routed.view->rollouts.find(routed.service);
+        auto const shares = version_shares(
+            found->second, rolled == routed.view->rollouts.end() ? nullptr : &rolled->second);
+        if (!shares.contains(routed.version)) {
+            routed.version = this->choose_version(routed.service, shares);
+        }
+        auto choice = this->choose_of_version(found->second, routed.version, routed, now);
+        for (auto other = shares.begin(); !choice && other != shares.end(); ++other) {
+            choice = this->choose_of_version(found->second, other->first, routed, now);
+        }
+        return choice;
+    }
+
+    std::string choose_version(std::string const& service,
+                               std::map<std::string, double> const& shares) {
+        if (shares.size() == 1) {
+            return shares.begin()->first;
+        }
+        std::vector<double> weights;
+        for (auto const& [version, share] : shares) {
+            weights.push_back(share);
+        }
+        auto const due = static_cast<std::ptrdiff_t>(this->version_choices[service].next(weights));
+        return std::next(shares.begin(), due)->first;
+    }
+
+    std::optional<target_choice> choose_of_version(std::vector<member> const& members,
+                                                   std::string const& version,
+                                                   routed_call const& routed, boot_time now) {
+        std::vector<member const*> candidates;
+        for (auto const& candidate : members) {
+            if (candidate.target.version == version &&
+                candidate.target.state == target_state::ready) {
+                candidates.push_back(&candidate);
+            }
+        }
+        return this->selector.choose(candidates, routed.attempts, now, this->random);
+    }
+
+    asio::awaitable<gate_answer> offer(member const& chosen, routed_call const& routed) {
+        in_flight_count const counted(this->selector, chosen.instance);
+        if (chosen.instance == this->identity.instance) {
+            co_return co_await this->gate.run(routed.call, routed.request);
+        }
+        http_request request = routed.request;
+        write_hop_call(request, routed.call, boot_clock::now());
+        exchange_options options;
+        options.reuse = routed.call.kind == request_kind::idempotent
+                            ? connection_reuse::any
+                            : connection_reuse::recent_only;
+        options.connect_timeout = connect_timeout;
+        socket_address const address{chosen.ip, this->identity.peer_port};
+        auto outcome = co_await this->connections.exchange(
+            address, std::move(request), to_steady(routed.call.deadline + hop_margin), options);
+        if (auto const* failed = std::get_if<exchange_failure>(&outcome)) {
+            if (failed->progress == exchange_progress::not_sent) {
+                co_return gate_unreachable{failed->reason};
+            }
+            co_return gate_unknown{failed->reason};
+        }
+        auto answer = take_hop_answer(std::move(std::get<http_response>(outcome)));
+        if (answer.state) {
+            this->selector.observe_load(chosen.instance, answer.state->load, boot_clock::now());
+            if (answer.state->configuration > routed.configuration->version()) {
+                this->notice_newer(chosen.ip, answer.state->configuration);
+            }
+        }
+        co_return std::move(answer.answer);
+    }
+
+    // Each gives the final answer, or nothing if the request may be offered to another member.
+    std::optional<http_response> conclude(gate_ran& ran, member const& chosen, wait_limit /*limit*/,
+                                          routed_call& routed) {
+        ++routed.sends;
+        bool const is_failure = ran.answer.status >= first_failure_status;
+        this->observe(chosen, is_failure ? target_observation::failed
+                                         : target_observation::succeeded);
+        if (!is_failure) {
+            return std::move(ran.answer);
+        }
+        log::write(log::level::info, "target_failed",
+                   {{"request", routed.call.attempt_id},
+                    {"route", routed.call.route},
+                    {"instance", chosen.instance},
+                    {"status", static_cast<std::int64_t>(ran.answer.status)}});
+        if (this->may_send_again(routed)) {
+            routed.failure = std::move(ran.answer);
+            routed.attempts.excluded.insert(chosen.instance);
+            return std::nullopt;
+        }
+        return std::move(ran.answer);
+    }
+
+    std::optional<http_response> conclude(gate_target_refusal& refused, member const& chosen,
+                                          wait_limit /*limit*/, routed_call& routed) {
+        ++routed.sends;
+        this->observe(chosen, target_observation::failed);
+        routed.attempts.excluded.insert(chosen.instance);
+        routed.reason = result_code::request_overloaded;
+        log::write(log::level::info, "target_refused",
+                   {{"request", routed.call.attempt_id},
+                    {"instance", chosen.instance},
+                    {"status", static_cast<std::int64_t>(refused.answer.status)}});
+        if (routed.sends < routed.route->attempts && this->budget(routed.service).try_take()) {
+            return std::nullopt;
+        }
+        return this->give_up(routed);
+    }
+
+    std::optional<http_response> conclude(gate_refusal const& refused, member const& chosen,
+                                          wait_limit limit, routed_call& routed) {
+        routed.reason = refused.reason;
+        switch (refused.reason) {
+        case result_code::request_overloaded:
+            this->observe(chosen, target_observation::busy);
+            if (limit == wait_limit::target_latency) {
+                routed.attempts.busy.insert(chosen.instance);
+            } else {
+                routed.attempts.excluded.insert(chosen.instance);
+            }
+            routed.retry_after = std::max(refused.retry_after, no_target_retry_after);
+            break;
+        case result_code::request_deadline_exceeded:
+            routed.attempts.excluded.insert(chosen.instance);
+            break;
+        default:
+            this->observe(chosen, target_observation::leaving);
+            routed.attempts.excluded.insert(chosen.instance);
+            break;
+        }
+        return std::nullopt;
+    }
+
+    std::optional<http_response> conclude(gate_unknown const& unknown, member const& chosen,
+                                          wait_limit /*limit*/, routed_call& routed) {
+        ++routed.sends;
+        routed.may_have_run = true;
+        bool const is_expired = boot_clock::now() >= routed.call.deadline;
+        this->observe(chosen, is_expired ? target_observation::failed
+                                         : target_observation::unreachable);
+        routed.attempts.excluded.insert(chosen.instance);
+        log::write(log::level::warning, "request_outcome_unknown",
+                   {{"request", routed.call.attempt_id},
+                    {"route", routed.call.route},
+                    {"instance", chosen.instance},
+                    {"reason", unknown.reason.message}});
+        if (!is_expired && this->may_send_again(routed)) {
+            return std::nullopt;
+        }
+        return this->give_up(routed);
+    }
+
+    std::optional<http_response> conclude(gate_unreachable const& /*unreachable*/,
+                                          member const& chosen, wait_limit /*limit*/,
+                                          routed_call& routed) {
+        this->observe(chosen, target_observation::unreachable);
+        routed.attempts.excluded.insert(chosen.instance);
+        return std::nullopt;
+    }
+
+    bool may_send_again(routed_call const& routed) {
+        return routed.call.kind == request_kind::idempotent &&
+               routed.sends < routed.route->attempts &&
+               boot_clock::now() < routed.call.deadline && this->budget(routed.service).try_take();
+    }
+
+    // The final answer when no member is left to try.
+    http_response give_up(routed_call& routed) const {
+        if (routed.failure) {
+            return std::move(*routed.failure);
+        }
+        bool const is_expired = boot_clock::now() >= routed.call.deadline;
+        unsigned status = status_codes::unavailable;
+        if (routed.may_have_run) {
+            status = is_expired ? status_codes::gateway_timeout : status_codes::bad_gateway;
+        }
+        log::write(log::level::info, "request_given_up",
+                   {{"request", routed.call.attempt_id},
+                    {"route", routed.call.route},
+                    {"service", routed.service},
+                    {"status", static_cast<std::int64_t>(status)},
+                    {"reason", std::string(name(routed.reason))},
+                    {"held_ms", std::chrono::duration_cast<milliseconds>(boot_clock::now() -
+                                                                         routed.arrived)
+                                    .count()}});
+        auto const retry_after = routed.may_have_run ? std::nullopt
+                                                     : std::optional(routed.retry_after);
+        return make_own_answer(status, routed.call.attempt_id, retry_after);
+    }
+
+    void observe(member const& chosen, target_observation seen) {
+        this->selector.observe(chosen.instance, seen, boot_clock::now());
+    }
+
+    retry_budget& budget(std::string const& service) {
+        auto& held = this->budgets[service];
+        if (!held) {
+            auto const view = this->views.load();
+            std::size_t nodes = 0;
+            for (auto const& [name, members] : view->members) {
+                nodes += members.size();
+            }
+            retry_budget_options options;
+            options.ratio = this->bounds.retry_ratio * used_part_of_budget;
+            // Every node has its part of what the fleet may use beyond the ratio; a restarted node
+            // starts anew, so only half of it is given out.
+            options.reserve = std::max(1.0, this->bounds.retry_extra * used_part_of_budget /
+                                                static_cast<double>(std::max<std::size_t>(1, nodes)));
+            held = std::make_unique<retry_budget>(options);
+        }
+        return *held;
+    }
+
+    // Counts a request as on its way to a member, on every way out.
+    class in_flight_count {
+    public:
+        in_flight_count(target_selector& counts, std::string instance)
+            : counts(counts), instance(std::move(instance)) {
+            this->counts.start(this->instance);
+        }
+        ~in_flight_count() { this->counts.finish(this->instance); }
+        in_flight_count(in_flight_count const&) = delete;
+        in_flight_count& operator=(in_flight_count const&) = delete;
+        in_flight_count(in_flight_count&&) = delete;
+        in_flight_count& operator=(in_flight_count&&) = delete;
+
+    private:
+        target_selector& counts;
+        std::string instance;
+    };
+
+    entry_identity identity;
+    deployment_bounds bounds;
+    rcu_cell<fleet_view> const& views;
+    connection_pool& connections;
+    target_gate& gate;
+    newer_function notice_newer;
+    target_selector selector;
+    random_source random = make_random_source();
+    std::unordered_map<std::string, weighted_choice> service_choices;
+    std::unordered_map<std::string, weighted_choice> version_choices;
+    std::unordered_map<std::string, std::unique_ptr<retry_budget>> budgets;
+};
+
+call_entry::call_entry(entry_identity identity, deployment_bounds const& bounds,
+                       rcu_cell<fleet_view> const& views, connection_pool& connections,
+                       target_gate& gate, newer_function notice_newer)
+    : self(std::make_unique<implementation>(std::move(identity), bounds, views, connections, gate,
+                                            std::move(notice_newer))) {}
+
+call_entry::~call_entry() = default;
+
+asio::awaitable<http_response> call_entry::respond(http_request request) {
+    return this->self->respond(std::move(request));
+}
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/sidecar/hop_message.cpp
@@ -0,0 +1,194 @@
+#include "sidecar/hop_message.h"
+
+#include <boost/url/decode_view.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+
+#include <charconv>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridot {
+
+namespace {
+
+// One field each way keeps the bytes between nodes few.
+constexpr std::string_view call_field = "Peridot-Call";
+constexpr std::string_view state_field = "Peridot-State";
+constexpr std::size_t call_parts = 10;
+constexpr std::size_t state_parts = 9;
+constexpr std::uint64_t longest_milliseconds = 86'400'000;
+constexpr unsigned status_refused = 503;
+constexpr unsigned status_unknown = 502;
+
+// The first part of a state: which alternative of gate_answer the message is.
+enum class outcome : unsigned { ran, target_refusal, refusal, unknown };
+
+std::string encoded(std::string_view text) {
+    return boost::urls::encode(text, boost::urls::unreserved_chars);
+}
+
+std::string decoded(std::string_view text) {
+    auto const view = boost::urls::make_pct_string_view(text);
+    if (!view) {
+        return {};
+    }
+    std::string plain;
+    for (char const letter : **view) {
+        plain.push_back(letter);
+    }
+    return plain;
+}
+
+std::vector<std::string_view> split(std::string_view text) {
+    std::vector<std::string_view> parts;
+    for (;;) {
+        auto const end = text.find(';');
+        parts.push_back(text.substr(0, end));
+        if (end == std::string_view::npos) {
+            return parts;
+        }
+        text.remove_prefix(end + 1);
+    }
+}
+
+std::optional<std::uint64_t> number(std::string_view text) {
+    std::uint64_t read = 0;
+    auto const [end, failed] = std::from_chars(text.data(), text.data() + text.size(), read);
+    if (failed != std::errc{} || end != text.data() + text.size() || read > longest_milliseconds * 1000) {
+        return std::nullopt;
+    }
+    return read;
+}
+
+std::string left(boot_time at, boot_time now) {
+    auto const time = std::chrono::duration_cast<milliseconds>(at - now);
+    return std::to_string(std::max<std::int64_t>(0, time.count()));
+}
+
+struct state_parts_of_answer {
+    outcome kind = outcome::unknown;
+    result_code code = result_code::ok;
+    milliseconds retry_after{0};
+    http_response message;
+};
+
+struct answer_writer {
+    state_parts_of_answer operator()(gate_ran& ran) const {
+        return {outcome::ran, result_code::ok, {}, std::move(ran.answer)};
+    }
+    state_parts_of_answer operator()(gate_target_refusal& refused) const {
+        return {outcome::target_refusal, result_code::ok, {}, std::move(refused.answer)};
+    }
+    state_parts_of_answer operator()(gate_refusal& refused) const {
+        http_response message;
+        message.status = status_refused;
+        return {outcome::refusal, refused.reason, refused.retry_after, std::move(message)};
+    }
+    state_parts_of_answer operator()(gate_unknown& unknown) const {
+        http_response message;
+        message.status = status_unknown;
+        return {outcome::unknown, unknown.reason.code, {}, std::move(message)};
+    }
+    // A gate does not answer so; only the sender of a request finds out.
+    state_parts_of_answer operator()(gate_unreachable& unreachable) const {
+        http_response message;
+        message.status = status_refused;
+        return {outcome::refusal, unreachable.reason.code, {}, std::move(message)};
+    }
+};
+
+} // namespace
+
+void write_hop_call(http_request& request, gate_call const& call, boot_time now) {
+    std::string text = call.kind == request_kind::idempotent ? "1" : "0";
+    text += ";" + std::to_string(call.priority);
+    text += ";" + left(call.target_at, now);
+    text += ";" + left(call.deadline, now);
+    text += ";" + left(call.finish_by, now);
+    text += ";" + encoded(call.target_id);
+    text += ";" + encoded(call.calling_service);
+    text += ";" + encoded(call.route);
+    text += ";" + encoded(call.attempt_id);
+    text += ";" + call.sender;
+    request.headers.set(call_field, text);
+}
+
+std::optional<gate_call> take_hop_call(http_request& request, boot_time now) {
+    auto const field = std::string(request.headers.value(call_field));
+    auto const parts = split(field);
+    if (parts.size() != call_parts) {
+        return std::nullopt;
+    }
+    auto const priority = number(parts[1]);
+    auto const target = number(parts[2]);
+    auto const deadline = number(parts[3]);
+    auto const finish = number(parts[4]);
+    if (!priority || !target || !deadline || !finish) {
+        return std::nullopt;
+    }
+    gate_call call;
+    call.kind = parts[0] == "1" ? request_kind::idempotent : request_kind::non_idempotent;
+    call.priority = static_cast<unsigned>(*priority);
+    call.target_at = now + milliseconds(*target);
+    call.deadline = now + milliseconds(*deadline);
+    call.finish_by = now + milliseconds(*finish);
+    call.target_id = decoded(parts[5]);
+    call.calling_service = decoded(parts[6]);
+    call.route = decoded(parts[7]);
+    call.attempt_id = decoded(parts[8]);
+    call.sender = parts[9];
+    request.headers.remove(call_field);
+    return call;
+}
+
+http_response write_hop_answer(gate_answer answer, hop_state const& state) {
+    auto parts = std::visit(answer_writer{}, answer);
+    auto const& load = state.load;
+    std::string text = std::to_string(static_cast<unsigned>(parts.kind));
+    for (std::uint64_t const figure :
+         {static_cast<std::uint64_t>(parts.code), static_cast<std::uint64_t>(parts.retry_after.count()),
+          std::uint64_t{load.in_use}, std::uint64_t{load.waiting}, std::uint64_t{load.slots},
+          static_cast<std::uint64_t>(load.wait.count()),
+          static_cast<std::uint64_t>(load.service_time.count()), state.configuration}) {
+        text += ";" + std::to_string(figure);
+    }
+    parts.message.headers.set(state_field, text);
+    return std::move(parts.message);
+}
+
+hop_answer take_hop_answer(http_response answer) {
+    auto const field = std::string(answer.headers.value(state_field));
+    std::vector<std::uint64_t> figures;
+    for (auto const part : split(field)) {
+        if (auto const read = number(part)) {
+            figures.push_back(*read);
+        }
+    }
+    if (figures.size() != state_parts) {
+        return {gate_unknown{{result_code::request_answer_mismatched,
+                              "the answer of a node has no readable state"}},
+                std::nullopt};
+    }
+    answer.headers.remove(state_field);
+    hop_state state;
+    state.load = {static_cast<unsigned>(figures[3]), static_cast<unsigned>(figures[4]),
+                  static_cast<unsigned>(figures[5]), milliseconds(figures[6]),
+                  milliseconds(figures[7])};
+    state.configuration = figures[8];
+    auto const code = static_cast<result_code>(figures[1]);
+    switch (static_cast<outcome>(figures[0])) {
+    case outcome::ran:
+        return {gate_ran{std::move(answer)}, state};
+    case outcome::target_refusal:
+        return {gate_target_refusal{std::move(answer)}, state};
+    case outcome::refusal:
+        return {gate_refusal{code, milliseconds(figures[2])}, state};
+    case outcome::unknown:
+        break;
+    }
+    return {gate_unknown{{code, "the other node knows no outcome"}}, state};
+}
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/sidecar/member_json.cpp
@@ -0,0 +1,83 @@
+#include "sidecar/member_json.h"
+
+#include <boost/json.hpp>
+
+namespace peridot {
+
+namespace {
+
+namespace json = boost::json;
+
+std::string_view state_name(target_state state) {
+    switch (state) {
+    case target_state::ready:
+        return "ready";
+    case target_state::draining:
+        return "draining";
+    case target_state::gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+target_state state_of(std::string_view text) {
+    if (text == "ready") {
+        return target_state::ready;
+    }
+    return text == "draining" ? target_state::draining : target_state::gone;
+}
+
+std::string text_in(json::object const& object, std::string_view key) {
+    auto const* found = object.if_contains(key);
+    auto const* text = found == nullptr ? nullptr : found->if_string();
+    return text == nullptr ? std::string{} : std::string(text->data(), text->size());
+}
+
+std::int64_t whole_in(json::object const& object, std::string_view key) {
+    auto const* found = object.if_contains(key);
+    boost::system::error_code unfit;
+    auto const read = found == nullptr ? 0 : found->to_number<std::int64_t>(unfit);
+    return unfit ? 0 : read;
+}
+
+} // namespace
+
+std::string encode_member(member const& record) {
+    json::object const text{{"instance", record.instance},
+                            {"ip", record.ip},
+                            {"availability_zone", record.availability_zone},
+                            {"target", record.target.id},
+                            {"service", record.target.service},
+                            {"version", record.target.version},
+                            {"slots", record.target.slots},
+                            {"state", state_name(record.target.state)},
+                            {"started_ms", record.target.started_ms}};
+    return json::serialize(text);
+}
+
+result<member> decode_member(std::string_view text) {
+    boost::system::error_code unreadable;
+    auto const parsed = json::parse(text, unreadable);
+    auto const* object = unreadable ? nullptr : parsed.if_object();
+    if (object == nullptr) {
+        return error{result_code::platform_record_malformed, "a member record is no object"};
+    }
+    member record;
+    record.instance = text_in(*object, "instance");
+    record.ip = text_in(*object, "ip");
+    record.availability_zone = text_in(*object, "availability_zone");
+    record.target.id = text_in(*object, "target");
+    record.target.service = text_in(*object, "service");
+    record.target.version = text_in(*object, "version");
+    auto const slots = whole_in(*object, "slots");
+    record.target.state = state_of(text_in(*object, "state"));
+    record.target.started_ms = whole_in(*object, "started_ms");
+    if (record.instance.empty() || record.ip.empty() || record.target.id.empty() || slots <= 0) {
+        return error{result_code::platform_record_malformed,
+                     "a member record lacks its instance, address, target or slots"};
+    }
+    record.target.slots = static_cast<unsigned>(slots);
+    return record;
+}
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/sidecar/member_json.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "core/result.h"
+#include "mesh/member.h"
+
+#include <string>
+#include <string_view>
+
+namespace peridot {
+
+/// The record that a node keeps in the store for others.
+std::string encode_member(member const& record);
+
+/// The revision is not part of the text.
+result<member> decode_member(std::string_view text);
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -0,0 +1,298 @@
+#include "sidecar/sidecar_node.h"
+
+#include "core/log.h"
+#include "core/rcu_cell.h"
+#include "http/connection_pool.h"
+#include "http/http_server.h"
+#include "mesh/mesh_configuration.h"
+#include "platform/bounds.h"
+#include "platform/messages.h"
+#include "platform/store_client.h"
+#include "settings/sidecar_settings.h"
+#include "sidecar/call_entry.h"
+#include "sidecar/fleet_sync.h"
+#include "sidecar/hop_message.h"
+#include "sidecar/target_announcements.h"
+#include "sidecar/target_gate.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+namespace peridot {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// Callers are told within two questions, a second apart, that a stopping node takes no new work.
+constexpr milliseconds stop_notice{2300};
+constexpr milliseconds stop_poll{20};
+// Left of the time to stop for closing connections.
+constexpr milliseconds stop_margin{400};
+// A node that knows its configuration and no target yet still forwards requests to others.
+constexpr milliseconds target_patience{2500};
+constexpr std::size_t store_answer_bytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t body_bytes = std::size_t{64} * 1024 * 1024;
+constexpr unsigned status_unavailable = 503;
+
+http_limits caller_bounds() {
+    http_limits limits;
+    limits.body_bytes = body_bytes;
+    limits.idle_timeout = milliseconds(15'000);
+    return limits;
+}
+
+http_limits store_bounds() {
+    http_limits limits;
+    limits.body_bytes = store_answer_bytes;
+    return limits;
+}
+
+entry_identity identity_of(sidecar_settings const& settings) {
+    return {settings.instance, settings.ip, settings.availability_zone, settings.service,
+            settings.peers.port};
+}
+
+} // namespace
+
+class sidecar_node::implementation {
+public:
+    explicit implementation(sidecar_settings const& given)
+        : settings(given)
+        , bounds(read_bounds(given.bounds))
+        , connections(data_context, caller_bounds())
+        , control_connections(control_context, store_bounds())
+        , store(control_connections, given.store)
+        , gate(data_context, connections, given.target,
+               [this](target_result const& seen) { this->count(seen); })
+        , entry(identity_of(given), bounds, views, connections, gate,
+                [this](std::string const& ip, std::uint64_t version) {
+                    this->ask_for_newer(ip, version);
+                })
+        , fleet(control_context, control_connections, store, views, given.ip, given.control_port)
+        , announcements(control_context, this->settings, fleet,
+                        [this](std::optional<target_record> target) {
+                            return this->put_target_in_force(std::move(target));
+                        })
+        , calls(data_context,
+                [this](http_request request) { return this->entry.respond(std::move(request)); },
+                caller_bounds())
+        , peers(data_context,
+                [this](http_request request) { return this->respond_to_peer(std::move(request)); },
+                caller_bounds())
+        , ready(data_context,
+                [this](http_request request) { return this->respond_ready(std::move(request)); })
+        , heartbeats(control_context,
+                     [this](http_request request) {
+                         return this->announcements.respond(std::move(request));
+                     })
+        , exchange(control_context, [this](http_request request) {
+            return this->respond_to_exchange(std::move(request));
+        }) {}
+
+    status bind() {
+        struct binding {
+            http_server& server;
+            socket_address address;
+        };
+        for (auto const& [server, address] :
+             {binding{this->calls, this->settings.calls}, binding{this->peers, this->settings.peers},
+              binding{this->ready, this->settings.ready},
+              binding{this->heartbeats, this->settings.heartbeats},
+              binding{this->exchange, {this->settings.ip, this->settings.control_port}}}) {
+            auto const bound = server.listen(address);
+            if (!is_ok(bound)) {
+                return failure(bound);
+            }
+        }
+        for (auto const& seed : this->settings.seeds) {
+            auto const address = parse_socket_address(seed);
+            if (is_ok(address)) {
+                this->fleet.add_contact(value(address).ip);
+            }
+        }
+        return success();
+    }
+
+    void run() {
+        log::write(log::level::info, "node_started",
+                   {{"instance", this->settings.instance}, {"service", this->settings.service}});
+        this->started = boot_clock::now();
+        this->fleet.set_change_handler([this] { this->announcements.rows_changed(); });
+        this->fleet.start();
+        asio::signal_set stop(this->data_context, SIGTERM, SIGINT);
+        stop.async_wait([this](boost::system::error_code failed, int) {
+            if (!failed) {
+                asio::co_spawn(this->data_context, this->leave(), asio::detached);
+            }
+        });
+        asio::signal_set reload(this->data_context, SIGHUP);
+        this->await_reload(reload);
+        auto const control_work = asio::make_work_guard(this->control_context);
+        std::thread control([this] { this->control_context.run(); });
+        this->data_context.run();
+        this->control_context.stop();
+        control.join();
+    }
+
+private:
+    asio::awaitable<http_response> respond_to_peer(http_request request) {
+        auto call = take_hop_call(request, boot_clock::now());
+        if (!call) {
+            http_response malformed;
+            malformed.status = 400;
+            co_return malformed;
+        }
+        if (call->sender != this->last_sender) {
+            this->last_sender = call->sender;
+            asio::post(this->control_context,
+                       [this, ip = call->sender] { this->fleet.add_contact(ip); });
+        }
+        if (this->is_stopping) {
+            co_return write_hop_answer(gate_refusal{result_code::request_draining, {}},
+                                       this->hop_state_now());
+        }
+        auto answer = co_await this->gate.run(std::move(*call), std::move(request));
+        co_return write_hop_answer(std::move(answer), this->hop_state_now());
+    }
+
+    hop_state hop_state_now() const {
+        auto const view = this->views.load();
+        bool const has_configuration = view && view->configuration;
+        return {this->gate.load(), has_configuration ? view->configuration->version() : 0};
+    }
+
+    asio::awaitable<http_response> respond_ready(http_request request) {
+        http_response answer;
+        if (!is_ready_question(request)) {
+            answer.status = 404;
+        } else if (!this->is_ready()) {
+            answer.status = status_unavailable;
+        }
+        co_return answer;
+    }
+
+    bool is_ready() const {
+        auto const view = this->views.load();
+        bool const has_configuration = view && view->configuration;
+        bool const is_complete =
+            this->has_target || boot_clock::now() - this->started > target_patience;
+        return has_configuration && is_complete && !this->is_stopping;
+    }
+
+    asio::awaitable<http_response> respond_to_exchange(http_request request) {
+        co_return this->fleet.answer_rows(request);
+    }
+
+    // Runs on the control thread; ends when the gate decides by the new record.
+    asio::awaitable<void> put_target_in_force(std::optional<target_record> target) {
+        auto const apply = [](implementation* node,
+                              std::optional<target_record> record) -> asio::awaitable<void> {
+            node->gate.set_target(record);
+            node->has_target = record.has_value();
+            co_return;
+        };
+        co_await asio::co_spawn(this->data_context, apply(this, std::move(target)),
+                                asio::use_awaitable);
+    }
+
+    void ask_for_newer(std::string const& ip, std::uint64_t version) {
+        if (version <= this->asked_version) {
+            return;
+        }
+        this->asked_version = version;
+        asio::post(this->control_context, [this, ip] { this->fleet.ask(ip); });
+    }
+
+    void count(target_result const& /*seen*/) {}
+
+    void await_reload(asio::signal_set& reload) {
+        reload.async_wait([this, &reload](boost::system::error_code failed, int) {
+            if (!failed) {
+                log::write(log::level::info, "settings_reloaded",
+                           {{"instance", this->settings.instance}});
+                this->await_reload(reload);
+            }
+        });
+    }
+
+    // A planned stop: callers and other nodes are told, work in flight ends, then the process does.
+    asio::awaitable<void> leave() {
+        log::write(log::level::info, "node_draining", {{"instance", this->settings.instance}});
+        this->is_stopping = true;
+        this->calls.end_connections();
+        this->peers.end_connections();
+        auto const begun = boot_clock::now();
+        auto const latest = begun + this->bounds.stop_time - stop_margin;
+        asio::steady_timer timer(this->data_context);
+        while (boot_clock::now() < latest) {
+            bool const is_idle =
+                this->calls.requests_in_flight() == 0 && this->peers.requests_in_flight() == 0;
+            if (is_idle && boot_clock::now() - begun >= stop_notice) {
+                break;
+            }
+            timer.expires_after(stop_poll);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        log::write(
+            log::level::info, "node_stopped",
+            {{"in_flight", static_cast<std::int64_t>(this->calls.requests_in_flight() +
+                                                     this->peers.requests_in_flight())}});
+        this->calls.close_idle();
+        this->peers.close_idle();
+        this->data_context.stop();
+    }
+
+    sidecar_settings settings;
+    deployment_bounds bounds;
+    asio::io_context data_context{1};
+    asio::io_context control_context{1};
+    rcu_cell<fleet_view> views;
+    connection_pool connections;
+    connection_pool control_connections;
+    store_client store;
+    target_gate gate;
+    call_entry entry;
+    fleet_sync fleet;
+    target_announcements announcements;
+    http_server calls;
+    http_server peers;
+    http_server ready;
+    http_server heartbeats;
+    http_server exchange;
+    boot_time started;
+    std::string last_sender;
+    std::uint64_t asked_version = 0;
+    bool has_target = false;
+    bool is_stopping = false;
+};
+
+sidecar_node::sidecar_node(std::unique_ptr<implementation> implementation)
+    : self(std::move(implementation)) {}
+
+sidecar_node::~sidecar_node() = default;
+
+result<std::unique_ptr<sidecar_node>> sidecar_node::create(sidecar_settings const& settings) {
+    auto made = std::make_unique<implementation>(settings);
+    auto const bound = made->bind();
+    if (!is_ok(bound)) {
+        return failure(bound);
+    }
+    return std::unique_ptr<sidecar_node>(new sidecar_node(std::move(made)));
+}
+
+void sidecar_node::run() {
+    this->self->run();
+}
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/sidecar/target_announcements.cpp
@@ -0,0 +1,233 @@
+#include "sidecar/target_announcements.h"
+
+#include "core/log.h"
+#include "mesh/row_replica.h"
+#include "mesh/target_tracker.h"
+#include "platform/decoders.h"
+#include "platform/messages.h"
+#include "settings/sidecar_settings.h"
+#include "sidecar/fleet_sync.h"
+#include "sidecar/member_json.h"
+#include "sidecar/view_builder.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace peridot {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// A target takes an acknowledgement as missing after a second.
+constexpr milliseconds recording_patience{600};
+constexpr milliseconds recording_poll{10};
+constexpr milliseconds first_backoff{100};
+constexpr milliseconds longest_backoff{1000};
+
+http_response acknowledgement() {
+    http_response answer;
+    answer.headers.set("Content-Type", "application/json");
+    answer.body = "{}";
+    return answer;
+}
+
+http_response refusal() {
+    http_response answer;
+    answer.status = 400;
+    return answer;
+}
+
+std::string_view state_name(target_state state) {
+    switch (state) {
+    case target_state::ready:
+        return "ready";
+    case target_state::draining:
+        return "draining";
+    case target_state::gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+} // namespace
+
+class target_announcements::implementation
+    : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(asio::io_context& io, sidecar_settings const& own, fleet_sync& sync,
+                   apply_function apply_target)
+        : context(io)
+        , settings(own)
+        , fleet(sync)
+        , apply(std::move(apply_target))
+        , tracker(to_string(own.target), own.service) {}
+
+    asio::awaitable<http_response> respond(http_request request) {
+        auto const call = read_target_call(request);
+        if (!call) {
+            http_response unknown;
+            unknown.status = 404;
+            co_return unknown;
+        }
+        auto const change = this->take(*call, request.body);
+        if (!change) {
+            co_return refusal();
+        }
+        if (*change == target_change::updated) {
+            co_await this->put_in_force();
+        }
+        bool const is_leaving =
+            this->tracker.current() && this->tracker.current()->state != target_state::ready;
+        if (is_leaving) {
+            co_await this->wait_until_recorded();
+        }
+        co_return acknowledgement();
+    }
+
+    void rows_changed() {
+        auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
+        if (row == nullptr || this->tracker.current()) {
+            return;
+        }
+        auto const recorded = decode_member(row->value);
+        if (!is_ok(recorded) || value(recorded).ip != this->settings.ip) {
+            return;
+        }
+        if (this->tracker.restore(value(recorded).target) == target_change::updated) {
+            this->recorded = encode_member(value(recorded));
+            asio::co_spawn(this->context, restore(this->shared_from_this()), asio::detached);
+        }
+    }
+
+    bool has_target() const { return this->tracker.current().has_value(); }
+
+private:
+    static asio::awaitable<void> restore(std::shared_ptr<implementation> self) {
+        log::write(log::level::info, "target_restored",
+                   {{"target", self->tracker.current()->id},
+                    {"state", std::string(state_name(self->tracker.current()->state))}});
+        co_await self->apply(self->tracker.current());
+    }
+
+    // No value for a message that cannot be used.
+    std::optional<target_change> take(target_call const& call, std::string const& body) {
+        if (call.kind == target_call::purpose::deregister) {
+            return this->tracker.deregister(call.target_id, decode_start_time(body));
+        }
+        auto const announced = decode_heartbeat(call.target_id, body);
+        if (!is_ok(announced)) {
+            log::write(log::level::warning, "heartbeat_refused",
+                       {{"target", call.target_id}, {"reason", describe(failure(announced))}});
+            return std::nullopt;
+        }
+        return this->tracker.announce(value(announced));
+    }
+
+    asio::awaitable<void> put_in_force() {
+        auto const& current = *this->tracker.current();
+        log::write(log::level::info, "target_changed",
+                   {{"target", current.id},
+                    {"version", current.version},
+                    {"state", std::string(state_name(current.state))},
+                    {"sequence", static_cast<std::int64_t>(current.sequence)}});
+        co_await this->apply(this->tracker.current());
+        if (!this->is_recording) {
+            this->is_recording = true;
+            asio::co_spawn(this->context, record(this->shared_from_this()), asio::detached);
+        }
+    }
+
+    std::string key() const {
+        return std::string(fleet_keys::member_prefix) + this->settings.instance;
+    }
+
+    std::string wanted() const {
+        member record;
+        record.instance = this->settings.instance;
+        record.ip = this->settings.ip;
+        record.availability_zone = this->settings.availability_zone;
+        record.target = *this->tracker.current();
+        return encode_member(record);
+    }
+
+    // Writes the record until the store holds the newest one. The condition on the revision keeps
+    // a write that takes effect late from replacing a newer one.
+    static asio::awaitable<void> record(std::shared_ptr<implementation> self) {
+        milliseconds backoff{0};
+        while (self->recorded != self->wanted()) {
+            std::string const text = self->wanted();
+            auto const* row = self->fleet.rows().find(fleet_keys::table, self->key());
+            std::vector<replica_row> rows;
+            rows.push_back({std::string(fleet_keys::table), self->key(), text,
+                            row == nullptr ? std::uint64_t{0} : row->revision, false});
+            auto const outcome = co_await self->fleet.commit(std::move(rows));
+            if (std::holds_alternative<commit_done>(outcome)) {
+                self->recorded = text;
+                backoff = milliseconds(0);
+                continue;
+            }
+            if (auto const* conflict = std::get_if<commit_conflict>(&outcome)) {
+                self->take_conflict(*conflict, text);
+            }
+            backoff = std::clamp(backoff * 2, first_backoff, longest_backoff);
+            co_await self->pause(backoff);
+        }
+        self->is_recording = false;
+    }
+
+    // After a lost answer the row may hold what was to be written.
+    void take_conflict(commit_conflict const& conflict, std::string const& text) {
+        for (auto const& row : conflict.rows) {
+            if (row.key == this->key() && row.value == text) {
+                this->recorded = text;
+            }
+        }
+    }
+
+    asio::awaitable<void> wait_until_recorded() {
+        auto const until = std::chrono::steady_clock::now() + recording_patience;
+        while (this->recorded != this->wanted() && std::chrono::steady_clock::now() < until) {
+            co_await this->pause(recording_poll);
+        }
+    }
+
+    asio::awaitable<void> pause(milliseconds time) {
+        asio::steady_timer timer(this->context, time);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+
+    asio::io_context& context;
+    sidecar_settings const& settings;
+    fleet_sync& fleet;
+    apply_function apply;
+    target_tracker tracker;
+    std::string recorded;
+    bool is_recording = false;
+};
+
+target_announcements::target_announcements(asio::io_context& context,
+                                           sidecar_settings const& settings, fleet_sync& fleet,
+                                           apply_function apply)
+    : self(std::make_shared<implementation>(context, settings, fleet, std::move(apply))) {}
+
+target_announcements::~target_announcements() = default;
+
+asio::awaitable<http_response> target_announcements::respond(http_request request) {
+    return this->self->respond(std::move(request));
+}
+
+void target_announcements::rows_changed() {
+    this->self->rows_changed();
+}
+
+bool target_announcements::has_target() const {
+    return this->self->has_target();
+}
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/sidecar/target_gate.cpp
@@ -0,0 +1,248 @@
+#include "sidecar/target_gate.h"
+
+#include "core/log.h"
+#include "http/connection_pool.h"
+#include "mesh/gate_queue.h"
+#include "platform/messages.h"
+#include "sidecar/recent_ids.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace peridot {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr milliseconds connect_timeout{500};
+// The target answers at its deadline by itself; its answer gets this long to arrive.
+constexpr milliseconds answer_margin{20};
+constexpr unsigned first_failure_status = 500;
+
+} // namespace
+
+class target_gate::implementation {
+public:
+    implementation(asio::io_context& io, connection_pool& pool, socket_address target_address,
+                   result_function report_result)
+        : context(io)
+        , connections(pool)
+        , address(std::move(target_address))
+        , report(std::move(report_result)) {}
+
+    // A request that waits for a slot, and the decision once there is one.
+    struct waiter {
+        explicit waiter(asio::io_context& io)
+            : decided(io, asio::steady_timer::time_point::max()) {}
+        asio::steady_timer decided;
+        std::optional<gate_decision> decision;
+    };
+
+    // Gives the slot or the place in the queue back on every way out, cancellation included.
+    class place {
+    public:
+        place(implementation& gate, std::uint64_t number) : gate(gate), number(number) {}
+        ~place() {
+            auto const now = boot_clock::now();
+            if (this->has_slot) {
+                this->gate.queue.finish(this->number, this->is_answered, now);
+            } else {
+                this->gate.queue.withdraw(this->number);
+            }
+            this->gate.waiters.erase(this->number);
+            this->gate.dispatch(now);
+        }
+        place(place const&) = delete;
+        place& operator=(place const&) = delete;
+        place(place&&) = delete;
+        place& operator=(place&&) = delete;
+
+        bool has_slot = false;
+        bool is_answered = false;
+
+    private:
+        implementation& gate;
+        std::uint64_t number;
+    };
+
+    asio::awaitable<gate_answer> run(gate_call call, http_request request) {
+        if (auto const refused = this->check(call)) {
+            co_return *refused;
+        }
+        std::uint64_t const number = ++this->last_number;
+        gate_request wanted{number,        call.route,    call.priority,
+                            call.target_at, call.deadline, call.finish_by};
+        place held(*this, number);
+        auto decision = this->queue.offer(std::move(wanted), boot_clock::now());
+        if (std::holds_alternative<gate_wait>(decision)) {
+            decision = co_await this->wait(number);
+        }
+        if (auto const* refused = std::get_if<gate_refusal>(&decision)) {
+            co_return *refused;
+        }
+        held.has_slot = true;
+        // The process may have been suspended, or the target may have left, while the request waited.
+        if (auto const refused = this->check(call)) {
+            co_return *refused;
+        }
+        if (call.kind == request_kind::non_idempotent &&
+            !this->passed_on.insert(call.attempt_id, boot_clock::now())) {
+            co_return gate_unknown{{result_code::request_duplicate,
+                                    "the request was passed on to the target before"}};
+        }
+        co_return co_await this->pass_on(call, std::move(request), held);
+    }
+
+    void set_target(std::optional<target_record> const& next) {
+        this->target = next;
+        bool const takes_work = next && next->state == target_state::ready;
+        this->queue.set_slots(takes_work ? next->slots : 0);
+        this->tell(takes_work ? this->queue.dispatch(boot_clock::now())
+                              : this->queue.refuse_all(result_code::request_draining));
+    }
+
+    gate_load load() const { return this->queue.load(boot_clock::now()); }
+
+private:
+    std::optional<gate_refusal> check(gate_call const& call) const {
+        if (!this->target) {
+            return gate_refusal{result_code::request_no_endpoint, {}};
+        }
+        if (this->target->state != target_state::ready) {
+            return gate_refusal{result_code::request_draining, {}};
+        }
+        if (this->target->id != call.target_id) {
+            return gate_refusal{result_code::request_misdirected, {}};
+        }
+        if (boot_clock::now() >= call.deadline) {
+            return gate_refusal{result_code::request_deadline_exceeded, {}};
+        }
+        return std::nullopt;
+    }
+
+    asio::awaitable<gate_decision> wait(std::uint64_t number) {
+        auto const waiting = std::make_shared<waiter>(this->context);
+        this->waiters[number] = waiting;
+        while (!waiting->decision) {
+            co_await waiting->decided.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        co_return *waiting->decision;
+    }
+
+    void dispatch(boot_time now) { this->tell(this->queue.dispatch(now)); }
+
+    void tell(gate_queue::departures const& leaving) {
+        for (auto const number : leaving.started) {
+            this->decide(number, gate_start{});
+        }
+        for (auto const& [number, refused] : leaving.refused) {
+            this->decide(number, refused);
+        }
+    }
+
+    void decide(std::uint64_t number, gate_decision const& decision) {
+        auto const found = this->waiters.find(number);
+        if (found == this->waiters.end()) {
+            // The request left between the decision and now; its slot goes to the next one.
+            this->queue.finish(number, false, boot_clock::now());
+            return;
+        }
+        found->second->decision = decision;
+        found->second->decided.cancel();
+    }
+
+    asio::awaitable<gate_answer> pass_on(gate_call const& call, http_request request, place& held) {
+        auto const started = boot_clock::now();
+        auto const current = this->queue.load(started);
+        target_result seen;
+        seen.route = call.route;
+        seen.version = this->target->version;
+        seen.pressure = current.slots == 0 ? 100 : std::min(100U, 100 * current.in_use / current.slots);
+        write_target_request(request, std::chrono::duration_cast<milliseconds>(call.deadline - started),
+                             call.target_id, call.calling_service);
+        exchange_options options;
+        options.reuse = call.kind == request_kind::idempotent ? connection_reuse::any
+                                                              : connection_reuse::recent_only;
+        options.connect_timeout = connect_timeout;
+        options.accepts_unframed = true;
+        options.match = [id = call.attempt_id](http_response const& answer) {
+            return match_answer(answer, id);
+        };
+        auto outcome =
+            co_await this->connections.exchange(this->address, std::move(request),
+                                                to_steady(call.deadline + answer_margin), options);
+        seen.latency = std::chrono::duration_cast<microseconds>(boot_clock::now() - started);
+        if (auto const* failed = std::get_if<exchange_failure>(&outcome)) {
+            if (failed->progress == exchange_progress::not_sent) {
+                co_return gate_refusal{result_code::request_connect_failed, {}};
+            }
+            seen.is_failure = true;
+            this->report(seen);
+            this->log_unknown(call, failed->reason);
+            co_return gate_unknown{failed->reason};
+        }
+        auto& answer = std::get<http_response>(outcome);
+        switch (prove(answer, call.attempt_id)) {
+        case answer_proof::not_run:
+            co_return gate_target_refusal{std::move(answer)};
+        case answer_proof::none: {
+            seen.is_failure = true;
+            this->report(seen);
+            error const reason{result_code::request_answer_mismatched,
+                               "the target's answer lacks its marks"};
+            this->log_unknown(call, reason);
+            co_return gate_unknown{reason};
+        }
+        case answer_proof::ran:
+            break;
+        }
+        held.is_answered = true;
+        seen.is_failure = answer.status >= first_failure_status;
+        this->report(seen);
+        co_return gate_ran{std::move(answer)};
+    }
+
+    void log_unknown(gate_call const& call, error const& reason) const {
+        log::write(log::level::warning, "target_outcome_unknown",
+                   {{"request", call.attempt_id},
+                    {"route", call.route},
+                    {"target", call.target_id},
+                    {"reason", reason.message}});
+    }
+
+    asio::io_context& context;
+    connection_pool& connections;
+    socket_address address;
+    result_function report;
+    std::optional<target_record> target;
+    gate_queue queue;
+    std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters;
+    recent_ids passed_on;
+    std::uint64_t last_number = 0;
+};
+
+target_gate::target_gate(asio::io_context& context, connection_pool& connections,
+                         socket_address target, result_function report)
+    : self(std::make_unique<implementation>(context, connections, std::move(target),
+                                            std::move(report))) {}
+
+target_gate::~target_gate() = default;
+
+asio::awaitable<gate_answer> target_gate::run(gate_call call, http_request request) {
+    return this->self->run(std::move(call), std::move(request));
+}
+
+void target_gate::set_target(std::optional<target_record> const& target) {
+    this->self->set_target(target);
+}
+
+gate_load target_gate::load() const {
+    return this->self->load();
+}
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/sidecar/view_builder.cpp
@@ -0,0 +1,109 @@
+#include "sidecar/view_builder.h"
+
+#include "core/log.h"
+#include "mesh/mesh_configuration.h"
+#include "mesh/row_replica.h"
+#include "platform/decoders.h"
+#include "sidecar/member_json.h"
+#include "sidecar/rollout_json.h"
+
+#include <algorithm>
+
+namespace peridot {
+
+class view_builder::implementation {
+public:
+    // A row is decoded once for each of its revisions.
+    void read_configuration(row_replica const& rows) {
+        auto const* row = rows.find(store_keys::operator_table, store_keys::configuration);
+        if (row == nullptr || row->revision == this->configuration_revision) {
+            return;
+        }
+        this->configuration_revision = row->revision;
+        auto decoded = decode_configuration(row->value);
+        if (!is_ok(decoded)) {
+            log::write(log::level::error, "configuration_refused",
+                       {{"revision", static_cast<std::int64_t>(row->revision)},
+                        {"reason", describe(failure(decoded))}});
+            return;
+        }
+        auto const held = this->configuration ? this->configuration->version() : 0;
+        if (this->configuration && value(decoded)->version() <= held) {
+            log::write(log::level::warning, "configuration_not_newer",
+                       {{"version", static_cast<std::int64_t>(value(decoded)->version())},
+                        {"held", static_cast<std::int64_t>(held)}});
+            return;
+        }
+        this->configuration = value(decoded);
+        log::write(log::level::info, "configuration_in_force",
+                   {{"version", static_cast<std::int64_t>(this->configuration->version())},
+                    {"revision", static_cast<std::int64_t>(row->revision)},
+                    {"routes", static_cast<std::int64_t>(this->configuration->route_count())}});
+    }
+
+    // An address belongs to the node that registered it last; older records of it are left over.
+    static std::map<std::string, member> newest_by_address(row_replica const& rows) {
+        std::map<std::string, member> by_address;
+        for (auto const* row : rows.rows(fleet_keys::table, fleet_keys::member_prefix)) {
+            auto decoded = decode_member(row->value);
+            if (!is_ok(decoded)) {
+                log::write(log::level::warning, "member_row_unreadable", {{"key", row->key}});
+                continue;
+            }
+            auto& record = value(decoded);
+            record.revision = row->revision;
+            auto const [place, is_new] = by_address.emplace(record.ip, record);
+            if (!is_new && place->second.revision < record.revision) {
+                place->second = record;
+            }
+        }
+        return by_address;
+    }
+
+    // The state that the nodes keep counts only for the operator's newest order.
+    static std::map<std::string, rollout, std::less<>> read_rollouts(row_replica const& rows) {
+        std::map<std::string, rollout, std::less<>> rollouts;
+        for (auto const* row : rows.rows(store_keys::operator_table, store_keys::rollout_prefix)) {
+            auto ordered = decode_rollout_order(row->value);
+            if (!is_ok(ordered)) {
+                log::write(log::level::warning, "rollout_order_unreadable", {{"key", row->key}});
+                continue;
+            }
+            auto& current = value(ordered);
+            current.order = row->revision;
+            auto const* state_row = rows.find(
+                fleet_keys::table, std::string(fleet_keys::rollout_prefix) + current.service);
+            if (state_row != nullptr) {
+                auto const state = decode_rollout(state_row->value);
+                if (is_ok(state) && value(state).order == current.order) {
+                    current = value(state);
+                }
+            }
+            rollouts[current.service] = current;
+        }
+        return rollouts;
+    }
+
+    std::shared_ptr<mesh_configuration const> configuration;
+    std::uint64_t configuration_revision = 0;
+};
+
+view_builder::view_builder() : self(std::make_unique<implementation>()) {}
+
+view_builder::~view_builder() = default;
+
+std::shared_ptr<fleet_view const> view_builder::build(row_replica const& rows) {
+    this->self->read_configuration(rows);
+    auto view = std::make_shared<fleet_view>();
+    view->configuration = this->self->configuration;
+    for (auto& [ip, record] : implementation::newest_by_address(rows)) {
+        view->members[record.target.service].push_back(std::move(record));
+    }
+    for (auto& [service, members] : view->members) {
+        std::ranges::sort(members, {}, &member::instance);
+    }
+    view->rollouts = implementation::read_rollouts(rows);
+    return view;
+}
+
+} // namespace peridot
