sidecar: name the address that a node is asked at

g++ 12 destroys an aggregate that is created inside a co_await expression twice; a node ended when it asked another one for a newer configuration.

--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -233,9 +233,9 @@
         request.target = std::string(rows_path) + std::to_string(this->covered());
         exchange_options options;
         options.connect_timeout = peer_connect_timeout;
+        socket_address const address{ip, this->port};
         auto const outcome = co_await this->connections.exchange(
-            {ip, this->port}, std::move(request), std::chrono::steady_clock::now() + peer_timeout,
-            options);
+            address, std::move(request), std::chrono::steady_clock::now() + peer_timeout, options);
         auto const* answer = std::get_if<http_response>(&outcome);
         if (answer == nullptr || answer->status != 200) {
             co_return;
