--- a/libraries/mesh/target_selector.cpp
+++ b/libraries/mesh/target_selector.cpp
@@ -15,12 +15,12 @@
 // After a refusal for want of slots the next requests go elsewhere for this long.
 constexpr milliseconds busy_pause{60};
 // Members further away are preferred only to a wait that is longer by this.
-constexpr milliseconds distance_penalty{150};
+constexpr milliseconds distance_penalty{400};
 // A member whose answers are all failures counts as if it had this wait.
 constexpr milliseconds failure_penalty{2000};
 constexpr double failure_weight = 0.15;
-// Below this share of failures a member is as good as any other.
-constexpr double tolerated_failures = 0.1;
+// Up to this share of failures a member is as good as any other, so that single ones move no load.
+constexpr double tolerated_failures = 0.25;
 // Spread of the random part that keeps nodes with equal knowledge from choosing alike.
 constexpr milliseconds jitter{5};
 
@@ -58,7 +58,7 @@
         }
         if (state.failures > tolerated_failures) {
             cost += nanoseconds(static_cast<std::int64_t>(
-                state.failures * static_cast<double>(nanoseconds(failure_penalty).count())));
+                (state.failures - tolerated_failures) * static_cast<double>(nanoseconds(failure_penalty).count())));
         }
         // Of equal members the less used one.
         cost += milliseconds(state.in_flight);
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -141,6 +141,12 @@
             routed.call.finish_by = choice->limit == wait_limit::target_latency
                                         ? routed.call.target_at
                                         : routed.call.deadline;
+            log::write(log::level::debug, "request_offered",
+                       {{"request", routed.call.attempt_id},
+                        {"route", routed.call.route},
+                        {"instance", chosen.instance},
+                        {"in_time", choice->limit == wait_limit::target_latency},
+                        {"refused_before", std::string(name(routed.reason))}});
             auto answer = co_await this->offer(chosen, routed);
             auto final = std::visit(
                 [&](auto& outcome) { return this->conclude(outcome, chosen, choice->limit, routed); },
@@ -245,8 +251,11 @@
                                           routed_call& routed) {
         ++routed.sends;
         bool const is_failure = ran.answer.status >= first_failure_status;
-        this->observe(chosen, is_failure ? target_observation::failed
-                                         : target_observation::succeeded);
+        // A timeout tells more of the time that the caller left than of the target.
+        if (ran.answer.status != status_codes::gateway_timeout) {
+            this->observe(chosen, is_failure ? target_observation::failed
+                                             : target_observation::succeeded);
+        }
         if (!is_failure) {
             return std::move(ran.answer);
         }
