--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -133,12 +133,28 @@
             this->changed.expires_at(asio::steady_timer::time_point::max());
             this->server.connections.insert(this);
         }
-        ~connection() { this->server.connections.erase(this); }
+        ~connection() {
+            this->server.connections.erase(this);
+            this->server.in_flight -= this->pending.size();
+        }
         connection(connection const&) = delete;
         connection& operator=(connection const&) = delete;
         connection(connection&&) = delete;
         connection& operator=(connection&&) = delete;
 
+        void push(std::shared_ptr<pending_answer> answer) {
+            this->pending.push_back(std::move(answer));
+            ++this->server.in_flight;
+        }
+
+        // The oldest answer is written.
+        void pop() {
+            this->pending.pop_front();
+            --this->server.in_flight;
+            this->last_used = std::chrono::steady_clock::now();
+            this->notify();
+        }
+
         bool is_idle() const { return this->pending.empty() && !this->is_receiving; }
 
         void notify() { this->changed.cancel(); }
@@ -241,7 +257,7 @@
             refused->response = refuse_malformed(unreadable);
             refused->keeps_alive = false;
             refused->is_done = true;
-            used->pending.push_back(refused);
+            used->push(refused);
             used->reads_no_more = true;
             co_return false;
         }
@@ -261,8 +277,7 @@
         http_request request{std::string(message.method_string()), std::string(message.target()),
                              detail::from_beast(message), std::move(message.body()),
                              std::string(message[http::field::host])};
-        used->pending.push_back(answer);
-        ++this->in_flight;
+        used->push(answer);
         asio::co_spawn(this->context,
                        run_handler(this->shared_from_this(), used, answer, std::move(request)),
                        asio::bind_cancellation_slot(answer->cancel.slot(), asio::detached));
@@ -284,7 +299,6 @@
             log::write(log::level::error, "request_handler_failed", {{"reason", fault.what()}});
         }
         answer->is_done = true;
-        --self->in_flight;
         used->notify();
     }
 
@@ -307,9 +321,7 @@
                                     !(self->is_stopping && is_last);
             bool const is_written =
                 co_await self->write(used->stream, *answer, stays_open);
-            used->pending.pop_front();
-            used->last_used = std::chrono::steady_clock::now();
-            used->notify();
+            used->pop();
             if (!is_written) {
                 break;
             }
--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -14,7 +14,12 @@
 constexpr std::size_t longest_queue = 256;
 // Weight of the newest service time in the mean of its route.
 constexpr double service_time_weight = 0.1;
-constexpr milliseconds unknown_service_time{100};
+// A route that has not been timed yet is taken to need this part of its target latency. The times of
+// other routes would do for no estimate: a short route could be refused for ever without being timed.
+constexpr double unknown_part_of_target = 0.33;
+// A request that gets a slot within this part of its time is not refused for its route's mean time,
+// since a mean that has become too high could not be corrected otherwise.
+constexpr double certain_part_of_time = 0.5;
 // A level of priority counts as much as this much more time until the answer loses value.
 constexpr milliseconds priority_step{100};
 constexpr milliseconds shortest_retry_after{50};
@@ -40,19 +45,24 @@
         return request.target_at + request.priority * priority_step;
     }
 
+    static nanoseconds part_of(nanoseconds time, double part) {
+        return nanoseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * part));
+    }
+
     nanoseconds mean_time(std::string const& route) const {
         auto const found = this->service_times.find(route);
-        if (found != this->service_times.end()) {
-            return found->second;
-        }
-        return this->overall_time.count() > 0 ? this->overall_time : unknown_service_time;
+        return found == this->service_times.end() ? this->overall_time : found->second;
+    }
+
+    // Begins the timing of a route that is new.
+    void estimate(gate_request const& request, boot_time now) {
+        auto const left = std::max(nanoseconds(0), request.target_at - now);
+        this->service_times.emplace(request.route, part_of(left, unknown_part_of_target));
     }
 
     void learn(std::string const& route, nanoseconds taken) {
         auto const mix = [](nanoseconds mean, nanoseconds sample) {
-            return nanoseconds(static_cast<std::int64_t>(
-                static_cast<double>(mean.count()) * (1 - service_time_weight) +
-                static_cast<double>(sample.count()) * service_time_weight));
+            return mean + part_of(sample - mean, service_time_weight);
         };
         auto const [place, is_new] = this->service_times.emplace(route, taken);
         if (!is_new) {
@@ -68,8 +78,7 @@
         slot_times times;
         for (auto const& [id, request] : this->running) {
             auto const mean = this->mean_time(request.route);
-            auto const least = nanoseconds(
-                static_cast<std::int64_t>(static_cast<double>(mean.count()) * least_remainder));
+            auto const least = part_of(mean, least_remainder);
             times.push(now + std::max(mean - (now - request.started), least));
         }
         for (std::size_t index = this->running.size(); index < this->slots; ++index) {
@@ -135,6 +144,7 @@
     if (own.slots == 0) {
         return gate_refusal{result_code::request_no_endpoint, shortest_retry_after};
     }
+    own.estimate(request, now);
     auto const needed = own.mean_time(request.route);
     if (now >= request.deadline) {
         return gate_refusal{result_code::request_deadline_exceeded, {}};
@@ -145,7 +155,11 @@
     }
     auto const start = own.expected_start(request, now);
     auto const limit = std::min(request.finish_by, request.deadline);
-    if (start + needed > limit || own.queue.size() >= longest_queue) {
+    auto const least = std::min(
+        needed, implementation::part_of(request.deadline - now, certain_part_of_time));
+    bool const is_hopeless = request.finish_by < request.deadline ? start + needed > limit
+                                                                  : start + least > limit;
+    if (is_hopeless || own.queue.size() >= longest_queue) {
         return implementation::overloaded(start - now);
     }
     own.queue.push_back(std::move(request));
@@ -187,7 +201,10 @@
             continue;
         }
         auto const start = times.top();
-        if (now >= waiting.deadline || start + own.mean_time(waiting.route) > waiting.deadline) {
+        auto const least = std::min(
+            own.mean_time(waiting.route),
+            implementation::part_of(waiting.deadline - now, certain_part_of_time));
+        if (now >= waiting.deadline || start + least > waiting.deadline) {
             leaving.refused.emplace_back(waiting.id, implementation::overloaded(start - now));
             continue;
         }
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -370,6 +370,10 @@
 }
 
 void fleet_sync::ask(std::string const& ip) {
+    // The store's feed brings the same rows within moments, without bytes between availability zones.
+    if (!this->self->is_store_out()) {
+        return;
+    }
     asio::co_spawn(this->self->context, this->self->ask(ip), asio::detached);
 }
 
--- a/libraries/sidecar/fleet_sync.h
+++ b/libraries/sidecar/fleet_sync.h
@@ -44,7 +44,7 @@
     /// Learns of a node that may be asked while the store is out.
     void add_contact(std::string const& ip);
 
-    /// Asks a node at once, since it holds something newer.
+    /// Asks a node that holds something newer, if the store does not serve this node.
     void ask(std::string const& ip);
 
     /// Writes rows together under the condition that they have the revisions given. The copy takes
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -39,6 +39,7 @@
 constexpr milliseconds stop_poll{20};
 // Left of the time to stop for closing connections.
 constexpr milliseconds stop_margin{400};
+constexpr milliseconds closing_time{50};
 // A node that knows its configuration and no target yet still forwards requests to others.
 constexpr milliseconds target_patience{2500};
 constexpr std::size_t store_answer_bytes = std::size_t{8} * 1024 * 1024;
@@ -248,8 +249,12 @@
             log::level::info, "node_stopped",
             {{"in_flight", static_cast<std::int64_t>(this->calls.requests_in_flight() +
                                                      this->peers.requests_in_flight())}});
+        this->calls.stop_accepting();
         this->calls.close_idle();
         this->peers.close_idle();
+        // A socket that the end of the process closes with unread bytes would take its last answer along.
+        timer.expires_after(closing_time);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         this->data_context.stop();
     }
 
