sidecar: judge and steer roll-outs

The operator's roll-outs were left undone, a duty missed each time. Each gate of the service counts how its target does and sends the counts to the first member that answers; it asks the project's judge and writes the step, the share and the operator's status in one conditional transaction.

--- /dev/null
+++ b/libraries/mesh/rollout_plan.cpp
@@ -0,0 +1,70 @@
+#include "mesh/rollout_plan.h"
+
+#include <array>
+#include <cmath>
+
+namespace peridot {
+
+namespace {
+
+// Share of the requests, and the part of the time after which it may be given.
+struct planned_step {
+    double share;
+    double part_of_time;
+};
+
+constexpr std::array<planned_step, 4> steps{
+    {{0.02, 0.0}, {0.05, 0.25}, {0.25, 0.48}, {1.0, 0.60}}};
+// New targets are slow for some seconds after their start, which is no fault of the version.
+constexpr int warm_up_divisor = 6;
+constexpr std::uint64_t calls_for_step = 12;
+constexpr seconds least_step_time{1};
+// All requests go to the new version for this long before the old targets may stop.
+constexpr milliseconds completion_time{1200};
+// After this part of the time the roll-out is ended as soon as all requests go to the new version.
+constexpr double last_part = 0.9;
+
+milliseconds part_of(milliseconds time, double part) {
+    return milliseconds(std::llround(static_cast<double>(time.count()) * part));
+}
+
+} // namespace
+
+std::string rollout_id(rollout const& current) {
+    return "r" + std::to_string(current.order);
+}
+
+move_plan plan_of(rollout const& current) {
+    move_plan plan;
+    plan.id = rollout_id(current);
+    plan.service = current.service;
+    plan.to = current.to;
+    plan.start = to_wall_time(current.started);
+    plan.done_by = plan.start + current.duration;
+    for (auto const& step : steps) {
+        plan.ramp.push_back({step.share, plan.start + part_of(current.duration, step.part_of_time)});
+    }
+    return plan;
+}
+
+judge_settings rollout_judge_settings() {
+    judge_settings settings;
+    settings.warm_up_divisor = warm_up_divisor;
+    settings.calls_for_step = calls_for_step;
+    settings.least_step_time = least_step_time;
+    return settings;
+}
+
+wall_time to_wall_time(milliseconds store_time) {
+    return wall_time(store_time);
+}
+
+bool is_rollout_over(rollout const& current, milliseconds last_step_since, milliseconds now) {
+    if (current.share < 1) {
+        return false;
+    }
+    return now - last_step_since >= completion_time ||
+           now - current.started >= part_of(current.duration, last_part);
+}
+
+} // namespace peridot
--- a/libraries/mesh/version_share.cpp
+++ b/libraries/mesh/version_share.cpp
@@ -1,6 +1,7 @@
 #include "mesh/version_share.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridot {
 
@@ -61,4 +62,23 @@
     return {{old, 1.0 - current->share}, {current->to, current->share}};
 }
 
+std::vector<member const*> members_in_use(std::vector<member> const& members,
+                                          std::string const& version, rollout const* current) {
+    std::vector<member const*> in_use;
+    for (auto const& candidate : members) {
+        if (candidate.target.version == version &&
+            candidate.target.state == target_state::ready) {
+            in_use.push_back(&candidate);
+        }
+    }
+    bool const is_partial = current != nullptr && current->phase == rollout_phase::running &&
+                            version == current->to && current->share < 1;
+    if (is_partial) {
+        auto const wanted = static_cast<std::size_t>(
+            std::ceil(current->share * static_cast<double>(in_use.size())));
+        in_use.resize(std::min(in_use.size(), std::max<std::size_t>(1, wanted)));
+    }
+    return in_use;
+}
+
 } // namespace peridot
--- a/libraries/mesh/version_share.h
+++ b/libraries/mesh/version_share.h
@@ -17,4 +17,12 @@
 std::map<std::string, double> version_shares(std::vector<member> const& members,
                                              rollout const* current);
 
+/// The members of a version that take requests now.
+///
+/// While a new version has a share only, as many of its targets take requests as it has of the
+/// service's requests, so that each is loaded as it would be with all of them. A version that is bad
+/// only under load is seen as bad at a small share in this way.
+std::vector<member const*> members_in_use(std::vector<member> const& members,
+                                          std::string const& version, rollout const* current);
+
 } // namespace peridot
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -177,14 +177,17 @@
             return std::nullopt;
         }
         auto const rolled = routed.view->rollouts.find(routed.service);
-        auto const shares = version_shares(
-            found->second, rolled == routed.view->rollouts.end() ? nullptr : &rolled->second);
+        auto const* current =
+            rolled == routed.view->rollouts.end() ? nullptr : &rolled->second;
+        auto const shares = version_shares(found->second, current);
         if (!shares.contains(routed.version)) {
             routed.version = this->choose_version(routed.service, shares);
         }
-        auto choice = this->choose_of_version(found->second, routed.version, routed, now);
+        auto choice = this->selector.choose(members_in_use(found->second, routed.version, current),
+                                            routed.attempts, now, this->random);
         for (auto other = shares.begin(); !choice && other != shares.end(); ++other) {
-            choice = this->choose_of_version(found->second, other->first, routed, now);
+            choice = this->selector.choose(members_in_use(found->second, other->first, current),
+                                           routed.attempts, now, this->random);
         }
         return choice;
     }
@@ -202,19 +205,6 @@
         return std::next(shares.begin(), due)->first;
     }
 
-    std::optional<target_choice> choose_of_version(std::vector<member> const& members,
-                                                   std::string const& version,
-                                                   routed_call const& routed, boot_time now) {
-        std::vector<member const*> candidates;
-        for (auto const& candidate : members) {
-            if (candidate.target.version == version &&
-                candidate.target.state == target_state::ready) {
-                candidates.push_back(&candidate);
-            }
-        }
-        return this->selector.choose(candidates, routed.attempts, now, this->random);
-    }
-
     asio::awaitable<gate_answer> offer(member const& chosen, routed_call const& routed) {
         in_flight_count const counted(this->selector, chosen.instance);
         if (chosen.instance == this->identity.instance) {
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/fleet_sync.h"
 
+#include "core/boot_clock.h"
 #include "core/log.h"
 #include "core/random_source.h"
 #include "http/connection_pool.h"
@@ -141,6 +142,7 @@
                 co_return false;
             }
             this->note_success(table);
+            this->note_store_time(value(page).store_time);
             if (from.empty()) {
                 revision = value(page).revision;
             }
@@ -171,6 +173,7 @@
             co_return true;
         }
         this->note_success(table);
+        this->note_store_time(value(page).store_time);
         revision = std::max(revision, value(page).revision);
         this->read_up_to[table] = revision;
         this->apply(to_replica(std::move(value(page).rows)));
@@ -259,6 +262,23 @@
         return std::max(by_store, this->covered_by_peers);
     }
 
+    // Both clocks are steady; answers that were long under way would set the clock back.
+    void note_store_time(milliseconds read) {
+        auto const offset = std::chrono::duration_cast<milliseconds>(
+            boot_clock::now().time_since_epoch()) - read;
+        if (!this->store_clock_offset || offset < *this->store_clock_offset) {
+            this->store_clock_offset = offset;
+        }
+    }
+
+    std::optional<milliseconds> store_time() const {
+        if (!this->store_clock_offset) {
+            return std::nullopt;
+        }
+        return std::chrono::duration_cast<milliseconds>(boot_clock::now().time_since_epoch()) -
+               *this->store_clock_offset;
+    }
+
     void note_failure(std::string const& table, error const& reason) {
         auto const [place, is_new] =
             this->failing_since.emplace(table, std::chrono::steady_clock::now());
@@ -343,6 +363,7 @@
     bool has_published = false;
     std::map<std::string, std::uint64_t> read_up_to;
     std::uint64_t covered_by_peers = 0;
+    std::optional<milliseconds> store_clock_offset;
     std::set<std::string> contacts;
     std::map<std::string, steady_time> failing_since;
     std::map<std::string, milliseconds> backoffs;
@@ -389,6 +410,10 @@
     return this->self->has_published && this->self->covered() > 0;
 }
 
+std::optional<milliseconds> fleet_sync::store_time() const {
+    return this->self->store_time();
+}
+
 http_response fleet_sync::answer_rows(http_request const& request) const {
     return this->self->answer_rows(request);
 }
--- a/libraries/sidecar/fleet_sync.h
+++ b/libraries/sidecar/fleet_sync.h
@@ -2,7 +2,7 @@
 
 #include "core/rcu_cell.h"
 #include "core/result.h"
-#include "core/socket_address.h"
+#include "core/time.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
 #include "mesh/fleet_view.h"
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,9 @@
     /// Whether every table has been read from the store or from another node since the start.
     bool is_loaded() const;
 
+    /// The store's clock; no value before its first answer.
+    std::optional<milliseconds> store_time() const;
+
     /// The rows that another node asks for.
     http_response answer_rows(http_request const& request) const;
 
--- /dev/null
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -0,0 +1,319 @@
+#include "sidecar/rollout_steering.h"
+
+#include "core/log.h"
+#include "http/connection_pool.h"
+#include "mesh/rollout_plan.h"
+#include "mesh/row_replica.h"
+#include "moves/evidence_ledger.h"
+#include "moves/evidence_report.h"
+#include "moves/judge.h"
+#include "platform/decoders.h"
+#include "sidecar/fleet_sync.h"
+#include "sidecar/rollout_json.h"
+#include "sidecar/view_builder.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace peridot {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr milliseconds period{250};
+constexpr milliseconds idle_period{500};
+constexpr milliseconds evidence_timeout{400};
+constexpr milliseconds evidence_connect_timeout{200};
+// A member that did not take evidence is passed over for this long.
+constexpr milliseconds unreachable_time{2000};
+// The judge divides its false-alarm rate over this many routes of a service.
+constexpr std::size_t judged_routes = 8;
+constexpr std::string_view condemned_text = "condemned";
+
+} // namespace
+
+class rollout_steering::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    // What this node knows of one roll-out.
+    struct steered {
+        explicit steered(rollout const& current) : ledger(rollout_id(current)) {}
+        evidence_ledger ledger;
+        std::optional<judge> decides;
+        std::optional<milliseconds> last_step_since;
+        bool is_condemned = false;
+        std::uint64_t sequence = 0;
+    };
+
+    implementation(asio::io_context& io, connection_pool& pool, fleet_sync& sync,
+                   rcu_cell<fleet_view> const& fleet_views, std::string own_instance,
+                   std::string own_service, std::uint16_t control_port, links connected)
+        : context(io)
+        , connections(pool)
+        , fleet(sync)
+        , views(fleet_views)
+        , instance(std::move(own_instance))
+        , service(std::move(own_service))
+        , port(control_port)
+        , parts(std::move(connected))
+        , incarnation(static_cast<std::uint64_t>(
+              std::chrono::system_clock::now().time_since_epoch().count())) {}
+
+    static asio::awaitable<void> run(std::shared_ptr<implementation> self) {
+        asio::steady_timer timer(self->context);
+        for (;;) {
+            bool const is_busy = co_await self->step();
+            timer.expires_after(is_busy ? period : idle_period);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+
+    http_response take_evidence(http_request const& request) {
+        http_response answer;
+        auto const report = decode_evidence_report(request.body);
+        if (!is_ok(report)) {
+            answer.status = 400;
+            return answer;
+        }
+        auto const current = this->running();
+        if (!current || rollout_id(*current) != value(report).move) {
+            return answer;
+        }
+        auto& known = this->state_of(*current);
+        known.ledger.accept(value(report));
+        if (known.is_condemned) {
+            answer.body = condemned_text;
+        }
+        return answer;
+    }
+
+private:
+    // The roll-out of the own service that is under way.
+    std::optional<rollout> running() const {
+        auto const view = this->views.load();
+        if (!view) {
+            return std::nullopt;
+        }
+        auto const found = view->rollouts.find(this->service);
+        if (found == view->rollouts.end() || found->second.phase != rollout_phase::running) {
+            return std::nullopt;
+        }
+        return found->second;
+    }
+
+    steered& state_of(rollout const& current) {
+        auto const found = this->states.find(current.order);
+        if (found != this->states.end()) {
+            return found->second;
+        }
+        this->states.clear();
+        return this->states.emplace(current.order, steered(current)).first->second;
+    }
+
+    // Whether a roll-out is under way.
+    asio::awaitable<bool> step() {
+        auto const current = this->running();
+        if (!current) {
+            co_return false;
+        }
+        auto const steering = this->steering_member();
+        if (!steering) {
+            co_return true;
+        }
+        co_await this->report(*current, *steering);
+        if (steering->instance == this->instance) {
+            co_await this->steer(*current);
+        }
+        co_return true;
+    }
+
+    // The first member of the service that is not known to be out of reach.
+    std::optional<member> steering_member() const {
+        auto const view = this->views.load();
+        auto const found = view->members.find(this->service);
+        if (found == view->members.end()) {
+            return std::nullopt;
+        }
+        auto const now = std::chrono::steady_clock::now();
+        for (auto const& candidate : found->second) {
+            auto const paused = this->unreachable.find(candidate.instance);
+            bool const is_paused = paused != this->unreachable.end() && paused->second > now;
+            if (candidate.target.state != target_state::gone && !is_paused) {
+                return candidate;
+            }
+        }
+        return std::nullopt;
+    }
+
+    asio::awaitable<void> report(rollout current, member steering) {
+        evidence_report counts;
+        counts.move = rollout_id(current);
+        counts.node = this->instance;
+        counts.incarnation = this->incarnation;
+        counts.routes = co_await this->parts.evidence(counts.move);
+        auto& known = this->state_of(current);
+        counts.sequence = ++known.sequence;
+        if (steering.instance == this->instance) {
+            known.ledger.accept(counts);
+            co_return;
+        }
+        for (auto& datagram : encode(counts)) {
+            if (!co_await this->send(steering, std::move(datagram), current)) {
+                co_return;
+            }
+        }
+    }
+
+    asio::awaitable<bool> send(member steering, std::string datagram, rollout current) {
+        http_request request;
+        request.method = "POST";
+        request.target = "/evidence";
+        request.body = std::move(datagram);
+        exchange_options options;
+        options.connect_timeout = evidence_connect_timeout;
+        socket_address const address{steering.ip, this->port};
+        auto const outcome = co_await this->connections.exchange(
+            address, std::move(request), std::chrono::steady_clock::now() + evidence_timeout,
+            options);
+        auto const* answer = std::get_if<http_response>(&outcome);
+        if (answer == nullptr) {
+            this->unreachable[steering.instance] =
+                std::chrono::steady_clock::now() + unreachable_time;
+            log::write(log::level::info, "rollout_steering_unreachable",
+                       {{"instance", steering.instance}});
+            co_return false;
+        }
+        if (answer->body == condemned_text) {
+            this->parts.withhold(current.to);
+        }
+        co_return true;
+    }
+
+    asio::awaitable<void> steer(rollout current) {
+        auto const now = this->fleet.store_time();
+        if (!now) {
+            co_return;
+        }
+        auto& known = this->state_of(current);
+        rollout next = current;
+        if (current.started.count() == 0) {
+            next.started = *now;
+            next.share = plan_of(next).ramp.front().share;
+            co_await this->write(next);
+            co_return;
+        }
+        if (!known.decides) {
+            known.decides.emplace(plan_of(current), this->instance, judged_routes,
+                                  rollout_judge_settings());
+        }
+        move_state state;
+        state.move = rollout_id(current);
+        state.gate = current.step;
+        auto const decided =
+            known.decides->assess(to_wall_time(*now), state, known.ledger.totals());
+        if (auto const* against = std::get_if<take_back>(&decided)) {
+            known.is_condemned = true;
+            this->parts.withhold(current.to);
+            log::write(log::level::warning, "rollout_condemned",
+                       {{"service", current.service},
+                        {"version", current.to},
+                        {"reason", describe(*against)}});
+            next.phase = rollout_phase::rolled_back;
+            next.share = 0;
+            co_await this->write(next);
+            co_return;
+        }
+        if (auto const* raise = std::get_if<step_raise>(&decided)) {
+            next.step = raise->step;
+            next.share = plan_of(current).ramp[raise->step].share;
+            co_await this->write(next);
+            co_return;
+        }
+        co_await this->end_if_over(current, known, *now);
+    }
+
+    asio::awaitable<void> end_if_over(rollout current, steered& known, milliseconds now) {
+        if (current.share < 1) {
+            co_return;
+        }
+        if (!known.last_step_since) {
+            known.last_step_since = now;
+        }
+        if (is_rollout_over(current, *known.last_step_since, now)) {
+            rollout next = current;
+            next.phase = rollout_phase::complete;
+            co_await this->write(next);
+        }
+    }
+
+    // The operator's row and the nodes' row change together or not at all.
+    asio::awaitable<void> write(rollout next) {
+        std::string const key = std::string(fleet_keys::rollout_prefix) + next.service;
+        std::string const status_key = std::string(store_keys::rollout_prefix) + next.service;
+        std::vector<replica_row> rows;
+        rows.push_back({std::string(fleet_keys::table), key, encode_rollout(next),
+                        this->revision_of(fleet_keys::table, key), false});
+        rows.push_back({std::string(store_keys::status_table), status_key,
+                        encode_rollout_status(next),
+                        this->revision_of(store_keys::status_table, status_key), false});
+        auto const outcome = co_await this->fleet.commit(std::move(rows));
+        if (std::holds_alternative<commit_done>(outcome)) {
+            log::write(log::level::info, "rollout_step",
+                       {{"service", next.service},
+                        {"version", next.to},
+                        {"share", next.share},
+                        {"status", encode_rollout_status(next)}});
+            co_return;
+        }
+        auto const* failed = std::get_if<error>(&outcome);
+        log::write(log::level::warning, "rollout_step_not_written",
+                   {{"service", next.service},
+                    {"reason", failed == nullptr ? std::string("a row has changed")
+                                                 : describe(*failed)}});
+    }
+
+    std::uint64_t revision_of(std::string_view table, std::string_view key) const {
+        auto const* row = this->fleet.rows().find(table, key);
+        return row == nullptr ? 0 : row->revision;
+    }
+
+    asio::io_context& context;
+    connection_pool& connections;
+    fleet_sync& fleet;
+    rcu_cell<fleet_view> const& views;
+    std::string instance;
+    std::string service;
+    std::uint16_t port;
+    links parts;
+    std::uint64_t incarnation;
+    std::map<std::uint64_t, steered> states;
+    std::map<std::string, steady_time> unreachable;
+
+    friend class rollout_steering;
+};
+
+rollout_steering::rollout_steering(asio::io_context& context, connection_pool& connections,
+                                   fleet_sync& fleet, rcu_cell<fleet_view> const& views,
+                                   std::string instance, std::string service, std::uint16_t port,
+                                   links parts)
+    : self(std::make_shared<implementation>(context, connections, fleet, views, std::move(instance),
+                                            std::move(service), port, std::move(parts))) {}
+
+rollout_steering::~rollout_steering() = default;
+
+void rollout_steering::start() {
+    asio::co_spawn(this->self->context, implementation::run(this->self), asio::detached);
+}
+
+http_response rollout_steering::take_evidence(http_request const& request) {
+    return this->self->take_evidence(request);
+}
+
+} // namespace peridot
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -12,6 +12,8 @@
 #include "sidecar/call_entry.h"
 #include "sidecar/fleet_sync.h"
 #include "sidecar/hop_message.h"
+#include "sidecar/rollout_evidence.h"
+#include "sidecar/rollout_steering.h"
 #include "sidecar/target_announcements.h"
 #include "sidecar/target_gate.h"
 
@@ -74,8 +76,9 @@
         , connections(data_context, caller_bounds())
         , control_connections(control_context, store_bounds())
         , store(control_connections, given.store)
+        , evidence(views, given.service)
         , gate(data_context, connections, given.target,
-               [this](target_result const& seen) { this->count(seen); })
+               [this](target_result const& seen) { this->evidence.record(seen); })
         , entry(identity_of(given), bounds, views, connections, gate,
                 [this](std::string const& ip, std::uint64_t version) {
                     this->ask_for_newer(ip, version);
@@ -85,6 +88,8 @@
                         [this](std::optional<target_record> target) {
                             return this->put_target_in_force(std::move(target));
                         })
+        , steering(control_context, control_connections, fleet, views, given.instance,
+                   given.service, given.control_port, make_steering_links())
         , calls(data_context,
                 [this](http_request request) { return this->entry.respond(std::move(request)); },
                 caller_bounds())
@@ -131,6 +136,7 @@
         this->started = boot_clock::now();
         this->fleet.set_change_handler([this] { this->announcements.rows_changed(); });
         this->fleet.start();
+        this->steering.start();
         asio::signal_set stop(this->data_context, SIGTERM, SIGINT);
         stop.async_wait([this](boost::system::error_code failed, int) {
             if (!failed) {
@@ -192,6 +198,9 @@
     }
 
     asio::awaitable<http_response> respond_to_exchange(http_request request) {
+        if (request.method == "POST") {
+            co_return this->steering.take_evidence(request);
+        }
         co_return this->fleet.answer_rows(request);
     }
 
@@ -215,7 +224,26 @@
         asio::post(this->control_context, [this, ip] { this->fleet.ask(ip); });
     }
 
-    void count(target_result const& /*seen*/) {}
+    rollout_steering::links make_steering_links() {
+        rollout_steering::links parts;
+        parts.evidence = [this](std::string id) { return this->read_evidence(std::move(id)); };
+        parts.withhold = [this](std::string version) {
+            asio::post(this->data_context, [this, version = std::move(version)] {
+                this->gate.withhold(version);
+            });
+        };
+        return parts;
+    }
+
+    // Runs on the control thread; the counts belong to the data thread.
+    asio::awaitable<evidence_by_route> read_evidence(std::string id) {
+        auto const read = [](implementation* node,
+                             std::string wanted) -> asio::awaitable<evidence_by_route> {
+            co_return node->evidence.counts(wanted);
+        };
+        co_return co_await asio::co_spawn(this->data_context, read(this, std::move(id)),
+                                          asio::use_awaitable);
+    }
 
     void await_reload(asio::signal_set& reload) {
         reload.async_wait([this, &reload](boost::system::error_code failed, int) {
@@ -266,10 +294,12 @@
     connection_pool connections;
     connection_pool control_connections;
     store_client store;
+    rollout_evidence evidence;
     target_gate gate;
     call_entry entry;
     fleet_sync fleet;
     target_announcements announcements;
+    rollout_steering steering;
     http_server calls;
     http_server peers;
     http_server ready;
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -100,12 +100,20 @@
 
     void set_target(std::optional<target_record> const& next) {
         this->target = next;
-        bool const takes_work = next && next->state == target_state::ready;
+        bool const takes_work =
+            next && next->state == target_state::ready && next->version != this->withheld;
         this->queue.set_slots(takes_work ? next->slots : 0);
         this->tell(takes_work ? this->queue.dispatch(boot_clock::now())
                               : this->queue.refuse_all(result_code::request_draining));
     }
 
+    void withhold(std::string version) {
+        if (this->withheld != version) {
+            this->withheld = std::move(version);
+            this->set_target(this->target);
+        }
+    }
+
     gate_load load() const { return this->queue.load(boot_clock::now()); }
 
 private:
@@ -113,7 +121,8 @@
         if (!this->target) {
             return gate_refusal{result_code::request_no_endpoint, {}};
         }
-        if (this->target->state != target_state::ready) {
+        if (this->target->state != target_state::ready ||
+            this->target->version == this->withheld) {
             return gate_refusal{result_code::request_draining, {}};
         }
         if (this->target->id != call.target_id) {
@@ -220,6 +229,7 @@
     socket_address address;
     result_function report;
     std::optional<target_record> target;
+    std::string withheld;
     gate_queue queue;
     std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters;
     recent_ids passed_on;
@@ -241,6 +251,10 @@
     this->self->set_target(target);
 }
 
+void target_gate::withhold(std::string version) {
+    this->self->withhold(std::move(version));
+}
+
 gate_load target_gate::load() const {
     return this->self->load();
 }
--- a/libraries/sidecar/target_gate.h
+++ b/libraries/sidecar/target_gate.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace peridot {
 
@@ -44,6 +45,9 @@
     /// The target that is beside the node now. Requests that wait are refused when it leaves.
     void set_target(std::optional<target_record> const& target);
 
+    /// A version that is condemned; its target gets no further requests.
+    void withhold(std::string version);
+
     gate_load load() const;
 
 private:
