--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -35,6 +35,13 @@
 
 class gate_queue::implementation {
 public:
+    // The times that the target takes for requests of one route.
+    struct service_times_of_route {
+        nanoseconds mean{0};
+        /// Mean distance of a time from the mean.
+        nanoseconds deviation{0};
+    };
+
     struct running_request {
         std::string route;
         boot_time started;
@@ -51,22 +58,34 @@
 
     nanoseconds mean_time(std::string const& route) const {
         auto const found = this->service_times.find(route);
-        return found == this->service_times.end() ? this->overall_time : found->second;
+        return found == this->service_times.end() ? this->overall_time : found->second.mean;
+    }
+
+    // A time that most requests of the route keep to. With the mean alone, half of the requests that
+    // wait as long as they may would be answered too late.
+    nanoseconds likely_time(std::string const& route) const {
+        auto const found = this->service_times.find(route);
+        return found == this->service_times.end() ? this->overall_time
+                                                  : found->second.mean + found->second.deviation;
     }
 
     // Begins the timing of a route that is new.
     void estimate(gate_request const& request, boot_time now) {
         auto const left = std::max(nanoseconds(0), request.target_at - now);
-        this->service_times.emplace(request.route, part_of(left, unknown_part_of_target));
+        service_times_of_route times;
+        times.mean = part_of(left, unknown_part_of_target);
+        this->service_times.emplace(request.route, times);
     }
 
     void learn(std::string const& route, nanoseconds taken) {
         auto const mix = [](nanoseconds mean, nanoseconds sample) {
             return mean + part_of(sample - mean, service_time_weight);
         };
-        auto const [place, is_new] = this->service_times.emplace(route, taken);
+        auto const [place, is_new] = this->service_times.emplace(route, service_times_of_route{taken});
         if (!is_new) {
-            place->second = mix(place->second, taken);
+            auto& times = place->second;
+            times.deviation = mix(times.deviation, std::chrono::abs(taken - times.mean));
+            times.mean = mix(times.mean, taken);
         }
         this->overall_time =
             this->overall_time.count() == 0 ? taken : mix(this->overall_time, taken);
@@ -103,7 +122,7 @@
     }
 
     bool is_late(gate_request const& request, boot_time now) const {
-        return now + this->mean_time(request.route) > request.target_at;
+        return now + this->likely_time(request.route) > request.target_at;
     }
 
     bool comes_before(gate_request const& first, gate_request const& second, bool second_is_late,
@@ -127,7 +146,7 @@
     unsigned slots = 0;
     std::vector<gate_request> queue;
     std::unordered_map<std::uint64_t, running_request> running;
-    std::map<std::string, nanoseconds, std::less<>> service_times;
+    std::map<std::string, service_times_of_route, std::less<>> service_times;
     nanoseconds overall_time{0};
 };
 
@@ -145,7 +164,7 @@
         return gate_refusal{result_code::request_no_endpoint, shortest_retry_after};
     }
     own.estimate(request, now);
-    auto const needed = own.mean_time(request.route);
+    auto const needed = own.likely_time(request.route);
     if (now >= request.deadline) {
         return gate_refusal{result_code::request_deadline_exceeded, {}};
     }
@@ -202,7 +221,7 @@
         }
         auto const start = times.top();
         auto const least = std::min(
-            own.mean_time(waiting.route),
+            own.likely_time(waiting.route),
             implementation::part_of(waiting.deadline - now, certain_part_of_time));
         if (now >= waiting.deadline || start + least > waiting.deadline) {
             leaving.refused.emplace_back(waiting.id, implementation::overloaded(start - now));
