--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -282,9 +282,10 @@
     }
 
 private:
-    static asio::awaitable<boost::system::error_code>
-    connect(connection& fresh, socket_address const& address, steady_time deadline,
-            milliseconds timeout) {
+    static asio::awaitable<boost::system::error_code> connect(connection& fresh,
+                                                              socket_address const& address,
+                                                              steady_time deadline,
+                                                              milliseconds timeout) {
         boost::system::error_code failed;
         auto const ip = asio::ip::make_address(address.ip, failed);
         if (failed) {
--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -236,7 +236,8 @@
     asio::awaitable<bool> read_one(connection_pointer const& used) {
         auto& stream = used->stream;
         if (used->buffer.size() == 0) {
-            auto const [failed] = co_await stream.socket().async_wait(tcp::socket::wait_read, to_tuple);
+            auto const [failed] =
+                co_await stream.socket().async_wait(tcp::socket::wait_read, to_tuple);
             if (failed || has_left(stream.socket())) {
                 co_return false;
             }
@@ -319,8 +320,7 @@
             bool const is_last = used->pending.size() == 1;
             bool const stays_open = answer->keeps_alive && !answer->response->ends_connection &&
                                     !(self->is_stopping && is_last);
-            bool const is_written =
-                co_await self->write(used->stream, *answer, stays_open);
+            bool const is_written = co_await self->write(used->stream, *answer, stays_open);
             used->pop();
             if (!is_written) {
                 break;
@@ -333,8 +333,8 @@
         used->close();
     }
 
-    // Closing with unread bytes would reset the connection and could take the answer with it, so the
-    // sending side closes first and the peer gets time to close its own.
+    // Closing with unread bytes would reset the connection and could take the answer with it, so
+    // the sending side closes first and the peer gets time to close its own.
     static asio::awaitable<void> end_after_answer(std::shared_ptr<implementation> self,
                                                   connection_pointer used) {
         for (auto const& answer : used->pending) {
--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -14,8 +14,9 @@
 constexpr std::size_t longest_queue = 256;
 // Weight of the newest service time in the mean of its route.
 constexpr double service_time_weight = 0.1;
-// A route that has not been timed yet is taken to need this part of its target latency. The times of
-// other routes would do for no estimate: a short route could be refused for ever without being timed.
+// A route that has not been timed yet is taken to need this part of its target latency. The times
+// of other routes would do for no estimate: a short route could be refused for ever without being
+// timed.
 constexpr double unknown_part_of_target = 0.33;
 // A request that gets a slot within this part of its time is not refused for its route's mean time,
 // since a mean that has become too high could not be corrected otherwise.
@@ -40,6 +41,8 @@
         nanoseconds mean{0};
         /// Mean distance of a time from the mean.
         nanoseconds deviation{0};
+        /// Whether the mean comes from the target and not from an estimate.
+        bool is_timed = false;
     };
 
     struct running_request {
@@ -61,8 +64,8 @@
         return found == this->service_times.end() ? this->overall_time : found->second.mean;
     }
 
-    // A time that most requests of the route keep to. With the mean alone, half of the requests that
-    // wait as long as they may would be answered too late.
+    // A time that most requests of the route keep to. With the mean alone, half of the requests
+    // that wait as long as they may would be answered too late.
     nanoseconds likely_time(std::string const& route) const {
         auto const found = this->service_times.find(route);
         return found == this->service_times.end() ? this->overall_time
@@ -81,11 +84,12 @@
         auto const mix = [](nanoseconds mean, nanoseconds sample) {
             return mean + part_of(sample - mean, service_time_weight);
         };
-        auto const [place, is_new] = this->service_times.emplace(route, service_times_of_route{taken});
-        if (!is_new) {
-            auto& times = place->second;
+        auto& times = this->service_times[route];
+        if (times.is_timed) {
             times.deviation = mix(times.deviation, std::chrono::abs(taken - times.mean));
             times.mean = mix(times.mean, taken);
+        } else {
+            times = {taken, nanoseconds(0), true};
         }
         this->overall_time =
             this->overall_time.count() == 0 ? taken : mix(this->overall_time, taken);
@@ -174,10 +178,10 @@
     }
     auto const start = own.expected_start(request, now);
     auto const limit = std::min(request.finish_by, request.deadline);
-    auto const least = std::min(
-        needed, implementation::part_of(request.deadline - now, certain_part_of_time));
-    bool const is_hopeless = request.finish_by < request.deadline ? start + needed > limit
-                                                                  : start + least > limit;
+    auto const least =
+        std::min(needed, implementation::part_of(request.deadline - now, certain_part_of_time));
+    bool const is_hopeless =
+        request.finish_by < request.deadline ? start + needed > limit : start + least > limit;
     if (is_hopeless || own.queue.size() >= longest_queue) {
         return implementation::overloaded(start - now);
     }
@@ -220,9 +224,9 @@
             continue;
         }
         auto const start = times.top();
-        auto const least = std::min(
-            own.likely_time(waiting.route),
-            implementation::part_of(waiting.deadline - now, certain_part_of_time));
+        auto const least =
+            std::min(own.likely_time(waiting.route),
+                     implementation::part_of(waiting.deadline - now, certain_part_of_time));
         if (now >= waiting.deadline || start + least > waiting.deadline) {
             leaving.refused.emplace_back(waiting.id, implementation::overloaded(start - now));
             continue;
--- a/libraries/mesh/gate_queue.h
+++ b/libraries/mesh/gate_queue.h
@@ -16,10 +16,11 @@
 /// refused. It answers the load pattern in which more work arrives than the target can do: a queue
 /// in order of arrival then makes every answer late, and work is done whose caller has left.
 ///
-/// The target never gets more requests than it has slots, since a target that cannot queue a request
-/// may leave its connection without any answer. Requests wait in the order in which their answers
-/// lose value; those that can no longer be in time come last. A request that is not expected to be
-/// answered by its own limit is refused at once instead of being held until it has expired.
+/// The target never gets more requests than it has slots, since a target that cannot queue a
+/// request may leave its connection without any answer. Requests wait in the order in which their
+/// answers lose value; those that can no longer be in time come last. A request that is not
+/// expected to be answered by its own limit is refused at once instead of being held until it has
+/// expired.
 ///
 /// One thread uses it; the time is an argument.
 class gate_queue {
@@ -37,7 +38,8 @@
     /// Decides on a new request. gate_start takes a slot.
     gate_decision offer(gate_request request, boot_time now);
 
-    /// Gives back the slot of a request. A request that was answered tells how long its route takes.
+    /// Gives back the slot of a request. A request that was answered tells how long its route
+    /// takes.
     void finish(std::uint64_t id, bool is_answered, boot_time now);
 
     /// Forgets a waiting request whose caller has left.
--- a/libraries/mesh/rollout_plan.cpp
+++ b/libraries/mesh/rollout_plan.cpp
@@ -13,8 +13,7 @@
     double part_of_time;
 };
 
-constexpr std::array<planned_step, 4> steps{
-    {{0.02, 0.0}, {0.05, 0.25}, {0.25, 0.48}, {1.0, 0.60}}};
+constexpr std::array<planned_step, 4> steps{{{0.02, 0.0}, {0.05, 0.25}, {0.25, 0.48}, {1.0, 0.60}}};
 // New targets are slow for some seconds after their start, which is no fault of the version.
 constexpr int warm_up_divisor = 6;
 constexpr std::uint64_t calls_for_step = 12;
@@ -42,7 +41,8 @@
     plan.start = to_wall_time(current.started);
     plan.done_by = plan.start + current.duration;
     for (auto const& step : steps) {
-        plan.ramp.push_back({step.share, plan.start + part_of(current.duration, step.part_of_time)});
+        plan.ramp.push_back(
+            {step.share, plan.start + part_of(current.duration, step.part_of_time)});
     }
     return plan;
 }
--- a/libraries/mesh/target_selector.cpp
+++ b/libraries/mesh/target_selector.cpp
@@ -43,7 +43,8 @@
     // The wait to expect: the reported one shrinks as time passes, and requests of this node that
     // have been sent since count.
     nanoseconds expected_wait(member_state const& state, unsigned slots, boot_time now) const {
-        nanoseconds wait = std::max(nanoseconds(0), nanoseconds(state.load.wait) - (now - state.load_seen));
+        nanoseconds wait =
+            std::max(nanoseconds(0), nanoseconds(state.load.wait) - (now - state.load_seen));
         if (state.in_flight > slots && slots > 0) {
             wait += state.load.service_time * (state.in_flight - slots) / slots;
         }
@@ -58,7 +59,8 @@
         }
         if (state.failures > tolerated_failures) {
             cost += nanoseconds(static_cast<std::int64_t>(
-                (state.failures - tolerated_failures) * static_cast<double>(nanoseconds(failure_penalty).count())));
+                (state.failures - tolerated_failures) *
+                static_cast<double>(nanoseconds(failure_penalty).count())));
         }
         // Of equal members the less used one.
         cost += milliseconds(state.in_flight);
@@ -98,8 +100,7 @@
             }
             continue;
         }
-        bool const is_busy =
-            so_far.busy.contains(candidate->instance) || state.busy_until > now;
+        bool const is_busy = so_far.busy.contains(candidate->instance) || state.busy_until > now;
         options.push_back({candidate, this->self->cost(*candidate, now, random), is_busy});
     }
     std::ranges::sort(options, {}, &option::cost);
--- a/libraries/mesh/target_tracker.h
+++ b/libraries/mesh/target_tracker.h
@@ -15,15 +15,16 @@
     none,
     /// The target, or what it says of itself, is new.
     updated,
-    /// The announcement does not concern the target beside this node, or is older than what is known.
+    /// The announcement does not concern the target beside this node, or is older than what is
+    /// known.
     ignored,
 };
 
 /// Keeps the newest announcement of the target beside the node.
 ///
 /// Announcements arrive late, twice and out of order, also from a target that ran at the address
-/// before. The start time of the process decides first, then the number of the announcement. A target
-/// that has said that it leaves does not come back within the same process.
+/// before. The start time of the process decides first, then the number of the announcement. A
+/// target that has said that it leaves does not come back within the same process.
 class target_tracker {
 public:
     target_tracker(std::string address, std::string service);
@@ -32,7 +33,8 @@
     /// The target leaves at once. Without a start time the id alone decides.
     target_change deregister(std::string_view id, std::optional<std::int64_t> started_ms);
 
-    /// Takes over what an earlier process of the node had recorded, unless something newer is known.
+    /// Takes over what an earlier process of the node had recorded, unless something newer is
+    /// known.
     target_change restore(target_record const& recorded);
 
     std::optional<target_record> const& current() const { return this->known; }
--- a/libraries/mesh/version_share.cpp
+++ b/libraries/mesh/version_share.cpp
@@ -66,8 +66,7 @@
                                           std::string const& version, rollout const* current) {
     std::vector<member const*> in_use;
     for (auto const& candidate : members) {
-        if (candidate.target.version == version &&
-            candidate.target.state == target_state::ready) {
+        if (candidate.target.version == version && candidate.target.state == target_state::ready) {
             in_use.push_back(&candidate);
         }
     }
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -92,12 +92,12 @@
         }
         auto const* route = view->configuration->find(request.host, request.target);
         if (route == nullptr) {
-            log::write(log::level::info, "request_without_route",
-                       {{"request", caller->attempt_id},
-                        {"host", request.host},
-                        {"path", request.target},
-                        {"configuration",
-                         static_cast<std::int64_t>(view->configuration->version())}});
+            log::write(
+                log::level::info, "request_without_route",
+                {{"request", caller->attempt_id},
+                 {"host", request.host},
+                 {"path", request.target},
+                 {"configuration", static_cast<std::int64_t>(view->configuration->version())}});
             co_return make_own_answer(status_codes::no_route, caller->attempt_id, std::nullopt);
         }
         routed_call routed;
@@ -149,7 +149,9 @@
                         {"refused_before", std::string(name(routed.reason))}});
             auto answer = co_await this->offer(chosen, routed);
             auto final = std::visit(
-                [&](auto& outcome) { return this->conclude(outcome, chosen, choice->limit, routed); },
+                [&](auto& outcome) {
+                    return this->conclude(outcome, chosen, choice->limit, routed);
+                },
                 answer);
             if (final) {
                 co_return std::move(*final);
@@ -177,8 +179,7 @@
             return std::nullopt;
         }
         auto const rolled = routed.view->rollouts.find(routed.service);
-        auto const* current =
-            rolled == routed.view->rollouts.end() ? nullptr : &rolled->second;
+        auto const* current = rolled == routed.view->rollouts.end() ? nullptr : &rolled->second;
         auto const shares = version_shares(found->second, current);
         if (!shares.contains(routed.version)) {
             routed.version = this->choose_version(routed.service, shares);
@@ -243,8 +244,8 @@
         bool const is_failure = ran.answer.status >= first_failure_status;
         // A timeout tells more of the time that the caller left than of the target.
         if (ran.answer.status != status_codes::gateway_timeout) {
-            this->observe(chosen, is_failure ? target_observation::failed
-                                             : target_observation::succeeded);
+            this->observe(chosen,
+                          is_failure ? target_observation::failed : target_observation::succeeded);
         }
         if (!is_failure) {
             return std::move(ran.answer);
@@ -307,8 +308,8 @@
         ++routed.sends;
         routed.may_have_run = true;
         bool const is_expired = boot_clock::now() >= routed.call.deadline;
-        this->observe(chosen, is_expired ? target_observation::failed
-                                         : target_observation::unreachable);
+        this->observe(chosen,
+                      is_expired ? target_observation::failed : target_observation::unreachable);
         routed.attempts.excluded.insert(chosen.instance);
         log::write(log::level::warning, "request_outcome_unknown",
                    {{"request", routed.call.attempt_id},
@@ -331,8 +332,8 @@
 
     bool may_send_again(routed_call const& routed) {
         return routed.call.kind == request_kind::idempotent &&
-               routed.sends < routed.route->attempts &&
-               boot_clock::now() < routed.call.deadline && this->budget(routed.service).try_take();
+               routed.sends < routed.route->attempts && boot_clock::now() < routed.call.deadline &&
+               this->budget(routed.service).try_take();
     }
 
     // The final answer when no member is left to try.
@@ -351,11 +352,11 @@
                     {"service", routed.service},
                     {"status", static_cast<std::int64_t>(status)},
                     {"reason", std::string(name(routed.reason))},
-                    {"held_ms", std::chrono::duration_cast<milliseconds>(boot_clock::now() -
-                                                                         routed.arrived)
-                                    .count()}});
-        auto const retry_after = routed.may_have_run ? std::nullopt
-                                                     : std::optional(routed.retry_after);
+                    {"held_ms",
+                     std::chrono::duration_cast<milliseconds>(boot_clock::now() - routed.arrived)
+                         .count()}});
+        auto const retry_after =
+            routed.may_have_run ? std::nullopt : std::optional(routed.retry_after);
         return make_own_answer(status, routed.call.attempt_id, retry_after);
     }
 
@@ -375,8 +376,9 @@
             options.ratio = this->bounds.retry_ratio * used_part_of_budget;
             // Every node has its part of what the fleet may use beyond the ratio; a restarted node
             // starts anew, so only half of it is given out.
-            options.reserve = std::max(1.0, this->bounds.retry_extra * used_part_of_budget /
-                                                static_cast<double>(std::max<std::size_t>(1, nodes)));
+            options.reserve =
+                std::max(1.0, this->bounds.retry_extra * used_part_of_budget /
+                                  static_cast<double>(std::max<std::size_t>(1, nodes)));
             held = std::make_unique<retry_budget>(options);
         }
         return *held;
--- a/libraries/sidecar/call_entry.h
+++ b/libraries/sidecar/call_entry.h
@@ -32,8 +32,8 @@
 /// The path of a request from a caller on this instance to a target and back.
 ///
 /// A request is offered to one member after another until one takes it. Only a member's own
-/// statement that the request did not run allows a further try of a non-idempotent request. Lives on
-/// one io_context and is used from its thread only.
+/// statement that the request did not run allows a further try of a non-idempotent request. Lives
+/// on one io_context and is used from its thread only.
 class call_entry {
 public:
     /// Called when another node holds a newer configuration than this one.
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -218,8 +218,8 @@
             if (self->is_store_out() && !self->contacts.empty()) {
                 auto const chosen = std::uniform_int_distribution<std::size_t>(
                     0, self->contacts.size() - 1)(self->random);
-                auto const ip = *std::next(self->contacts.begin(),
-                                           static_cast<std::ptrdiff_t>(chosen));
+                auto const ip =
+                    *std::next(self->contacts.begin(), static_cast<std::ptrdiff_t>(chosen));
                 co_await self->ask(ip);
             }
         }
@@ -264,8 +264,8 @@
 
     // Both clocks are steady; answers that were long under way would set the clock back.
     void note_store_time(milliseconds read) {
-        auto const offset = std::chrono::duration_cast<milliseconds>(
-            boot_clock::now().time_since_epoch()) - read;
+        auto const offset =
+            std::chrono::duration_cast<milliseconds>(boot_clock::now().time_since_epoch()) - read;
         if (!this->store_clock_offset || offset < *this->store_clock_offset) {
             this->store_clock_offset = offset;
         }
@@ -370,9 +370,8 @@
     random_source random = make_random_source();
 };
 
-fleet_sync::fleet_sync(asio::io_context& context, connection_pool& connections,
-                       store_client& store, rcu_cell<fleet_view>& views, std::string own_ip,
-                       std::uint16_t port)
+fleet_sync::fleet_sync(asio::io_context& context, connection_pool& connections, store_client& store,
+                       rcu_cell<fleet_view>& views, std::string own_ip, std::uint16_t port)
     : self(std::make_shared<implementation>(context, connections, store, views, std::move(own_ip),
                                             port)) {}
 
@@ -391,7 +390,8 @@
 }
 
 void fleet_sync::ask(std::string const& ip) {
-    // The store's feed brings the same rows within moments, without bytes between availability zones.
+    // The store's feed brings the same rows within moments, without bytes between availability
+    // zones.
     if (!this->self->is_store_out()) {
         return;
     }
--- a/libraries/sidecar/hop_message.cpp
+++ b/libraries/sidecar/hop_message.cpp
@@ -56,7 +56,8 @@
 std::optional<std::uint64_t> number(std::string_view text) {
     std::uint64_t read = 0;
     auto const [end, failed] = std::from_chars(text.data(), text.data() + text.size(), read);
-    if (failed != std::errc{} || end != text.data() + text.size() || read > longest_milliseconds * 1000) {
+    if (failed != std::errc{} || end != text.data() + text.size() ||
+        read > longest_milliseconds * 1000) {
         return std::nullopt;
     }
     return read;
@@ -148,8 +149,9 @@
     auto const& load = state.load;
     std::string text = std::to_string(static_cast<unsigned>(parts.kind));
     for (std::uint64_t const figure :
-         {static_cast<std::uint64_t>(parts.code), static_cast<std::uint64_t>(parts.retry_after.count()),
-          std::uint64_t{load.in_use}, std::uint64_t{load.waiting}, std::uint64_t{load.slots},
+         {static_cast<std::uint64_t>(parts.code),
+          static_cast<std::uint64_t>(parts.retry_after.count()), std::uint64_t{load.in_use},
+          std::uint64_t{load.waiting}, std::uint64_t{load.slots},
           static_cast<std::uint64_t>(load.wait.count()),
           static_cast<std::uint64_t>(load.service_time.count()), state.configuration}) {
         text += ";" + std::to_string(figure);
--- a/libraries/sidecar/rollout_evidence.cpp
+++ b/libraries/sidecar/rollout_evidence.cpp
@@ -36,8 +36,8 @@
         this->self->counter = evidence_counter();
     }
     call_result call;
-    call.side = seen.version == found->second.to ? target_side::new_version
-                                                 : target_side::old_version;
+    call.side =
+        seen.version == found->second.to ? target_side::new_version : target_side::old_version;
     call.outcome = seen.is_failure ? call_outcome::failed : call_outcome::succeeded;
     call.latency = seen.latency;
     call.pressure = static_cast<std::uint8_t>(seen.pressure);
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -273,10 +273,10 @@
             co_return;
         }
         auto const* failed = std::get_if<error>(&outcome);
-        log::write(log::level::warning, "rollout_step_not_written",
-                   {{"service", next.service},
-                    {"reason", failed == nullptr ? std::string("a row has changed")
-                                                 : describe(*failed)}});
+        log::write(
+            log::level::warning, "rollout_step_not_written",
+            {{"service", next.service},
+             {"reason", failed == nullptr ? std::string("a row has changed") : describe(*failed)}});
     }
 
     std::uint64_t revision_of(std::string_view table, std::string_view key) const {
--- a/libraries/sidecar/rollout_steering.h
+++ b/libraries/sidecar/rollout_steering.h
@@ -25,8 +25,8 @@
 /// of the service's members that answers. That node judges the new version against the old one and
 /// writes each step under the condition that the row is as it knows it, so two nodes that both take
 /// themselves for the first cannot undo each other. A verdict against the version also goes back to
-/// the gates at once; they refuse further requests even while the store is out. Lives on the control
-/// thread.
+/// the gates at once; they refuse further requests even while the store is out. Lives on the
+/// control thread.
 class rollout_steering {
 public:
     /// What a node needs from its other parts.
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -90,12 +90,14 @@
                         })
         , steering(control_context, control_connections, fleet, views, given.instance,
                    given.service, given.control_port, make_steering_links())
-        , calls(data_context,
-                [this](http_request request) { return this->entry.respond(std::move(request)); },
-                caller_bounds())
-        , peers(data_context,
-                [this](http_request request) { return this->respond_to_peer(std::move(request)); },
-                caller_bounds())
+        , calls(
+              data_context,
+              [this](http_request request) { return this->entry.respond(std::move(request)); },
+              caller_bounds())
+        , peers(
+              data_context,
+              [this](http_request request) { return this->respond_to_peer(std::move(request)); },
+              caller_bounds())
         , ready(data_context,
                 [this](http_request request) { return this->respond_ready(std::move(request)); })
         , heartbeats(control_context,
@@ -112,7 +114,8 @@
             socket_address address;
         };
         for (auto const& [server, address] :
-             {binding{this->calls, this->settings.calls}, binding{this->peers, this->settings.peers},
+             {binding{this->calls, this->settings.calls},
+              binding{this->peers, this->settings.peers},
               binding{this->ready, this->settings.ready},
               binding{this->heartbeats, this->settings.heartbeats},
               binding{this->exchange, {this->settings.ip, this->settings.control_port}}}) {
@@ -228,9 +231,8 @@
         rollout_steering::links parts;
         parts.evidence = [this](std::string id) { return this->read_evidence(std::move(id)); };
         parts.withhold = [this](std::string version) {
-            asio::post(this->data_context, [this, version = std::move(version)] {
-                this->gate.withhold(version);
-            });
+            asio::post(this->data_context,
+                       [this, version = std::move(version)] { this->gate.withhold(version); });
         };
         return parts;
     }
@@ -273,14 +275,14 @@
             timer.expires_after(stop_poll);
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
-        log::write(
-            log::level::info, "node_stopped",
-            {{"in_flight", static_cast<std::int64_t>(this->calls.requests_in_flight() +
-                                                     this->peers.requests_in_flight())}});
+        log::write(log::level::info, "node_stopped",
+                   {{"in_flight", static_cast<std::int64_t>(this->calls.requests_in_flight() +
+                                                            this->peers.requests_in_flight())}});
         this->calls.stop_accepting();
         this->calls.close_idle();
         this->peers.close_idle();
-        // A socket that the end of the process closes with unread bytes would take its last answer along.
+        // A socket that the end of the process closes with unread bytes would take its last answer
+        // along.
         timer.expires_after(closing_time);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         this->data_context.stop();
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -57,8 +57,7 @@
 
 } // namespace
 
-class target_announcements::implementation
-    : public std::enable_shared_from_this<implementation> {
+class target_announcements::implementation : public std::enable_shared_from_this<implementation> {
 public:
     implementation(asio::io_context& io, sidecar_settings const& own, fleet_sync& sync,
                    apply_function apply_target)
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -75,7 +75,7 @@
             co_return *refused;
         }
         std::uint64_t const number = ++this->last_number;
-        gate_request wanted{number,        call.route,    call.priority,
+        gate_request wanted{number,         call.route,    call.priority,
                             call.target_at, call.deadline, call.finish_by};
         place held(*this, number);
         auto decision = this->queue.offer(std::move(wanted), boot_clock::now());
@@ -86,14 +86,15 @@
             co_return *refused;
         }
         held.has_slot = true;
-        // The process may have been suspended, or the target may have left, while the request waited.
+        // The process may have been suspended, or the target may have left, while the request
+        // waited.
         if (auto const refused = this->check(call)) {
             co_return *refused;
         }
         if (call.kind == request_kind::non_idempotent &&
             !this->passed_on.insert(call.attempt_id, boot_clock::now())) {
-            co_return gate_unknown{{result_code::request_duplicate,
-                                    "the request was passed on to the target before"}};
+            co_return gate_unknown{
+                {result_code::request_duplicate, "the request was passed on to the target before"}};
         }
         co_return co_await this->pass_on(call, std::move(request), held);
     }
@@ -121,8 +122,7 @@
         if (!this->target) {
             return gate_refusal{result_code::request_no_endpoint, {}};
         }
-        if (this->target->state != target_state::ready ||
-            this->target->version == this->withheld) {
+        if (this->target->state != target_state::ready || this->target->version == this->withheld) {
             return gate_refusal{result_code::request_draining, {}};
         }
         if (this->target->id != call.target_id) {
@@ -171,8 +171,10 @@
         target_result seen;
         seen.route = call.route;
         seen.version = this->target->version;
-        seen.pressure = current.slots == 0 ? 100 : std::min(100U, 100 * current.in_use / current.slots);
-        write_target_request(request, std::chrono::duration_cast<milliseconds>(call.deadline - started),
+        seen.pressure =
+            current.slots == 0 ? 100 : std::min(100U, 100 * current.in_use / current.slots);
+        write_target_request(request,
+                             std::chrono::duration_cast<milliseconds>(call.deadline - started),
                              call.target_id, call.calling_service);
         exchange_options options;
         options.reuse = call.kind == request_kind::idempotent ? connection_reuse::any
@@ -182,9 +184,8 @@
         options.match = [id = call.attempt_id](http_response const& answer) {
             return match_answer(answer, id);
         };
-        auto outcome =
-            co_await this->connections.exchange(this->address, std::move(request),
-                                                to_steady(call.deadline + answer_margin), options);
+        auto outcome = co_await this->connections.exchange(
+            this->address, std::move(request), to_steady(call.deadline + answer_margin), options);
         seen.latency = std::chrono::duration_cast<microseconds>(boot_clock::now() - started);
         if (auto const* failed = std::get_if<exchange_failure>(&outcome)) {
             if (failed->progress == exchange_progress::not_sent) {
--- /dev/null
+++ b/tests/adapter/decoders_test.cpp
@@ -0,0 +1,186 @@
+#include "mesh/mesh_configuration.h"
+#include "platform/base64.h"
+#include "platform/bounds.h"
+#include "platform/decoders.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+using namespace peridot;
+
+namespace {
+
+constexpr std::uint64_t mutation_seed = 4711;
+constexpr int mutations = 4000;
+
+std::string const configuration_text = R"({"Version":"r7","BaseVersion":"r5","Resources":[
+{"TypeUrl":"Routes","Metadata":{"Name":"one"},"Spec":{"Host":"a.example","Prefix":"/x/",
+"Kind":"idempotent","TimeoutS":1.5,"TargetLatencyS":0.6,"Priority":2,
+"WeightedClusters":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],"Attempts":2}},
+{"TypeUrl":"Routes","Metadata":{"Name":"two"},"Spec":{"Host":"b.example","Prefix":"/y/",
+"Kind":"non_idempotent","TimeoutS":1.2,"TargetLatencyS":0.8,"Priority":1,"Service":"s1","Attempts":2}},
+{"TypeUrl":"Services","Metadata":{"Name":"s1"},"Spec":{"HealthPath":"/health","MaxConnections":120}},
+{"TypeUrl":"Services","Metadata":{"Name":"s2"},"Spec":{"HealthPath":"/health","MaxConnections":110}},
+{"TypeUrl":"Limits","Metadata":{},"Spec":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,
+"HeaderTimeoutS":3,"IdleTimeoutS":15}}]})";
+
+std::string const heartbeat_text =
+    R"({"Address":"10.0.0.9:80","Info":{"Service":"s1","Version":"v1","Zone":"z","Slots":12},)"
+    R"("Status":{"State":"ready","Seq":4,"ColdRemainingS":0.5},"born":1700000000123})";
+
+std::string replaced(std::string text, std::string const& from, std::string const& to) {
+    auto const place = text.find(from);
+    CHECK_TEXT(place != std::string::npos, from.c_str());
+    return text.replace(place, from.size(), to);
+}
+
+std::string mutate(std::string text, std::mt19937_64& random) {
+    for (auto edits = 1 + random() % 3; edits > 0 && !text.empty(); --edits) {
+        auto const at = random() % text.size();
+        switch (random() % 3) {
+        case 0:
+            text[at] = static_cast<char>(random());
+            break;
+        case 1:
+            text.erase(at, 1 + random() % 12);
+            break;
+        default:
+            text.insert(at, text.substr(at, 1 + random() % 20));
+            break;
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(decode_configuration){};
+
+// Guards against a name of the wire that is read into the wrong field.
+TEST(decode_configuration, every_field_is_read) {
+    auto const read = decode_configuration(configuration_text);
+    CHECK(is_ok(read));
+    auto const& configuration = *value(read);
+    UNSIGNED_LONGS_EQUAL(7, configuration.version());
+    auto const* one = configuration.find("a.example", "/x/1");
+    CHECK(one != nullptr);
+    CHECK(one->kind == request_kind::idempotent);
+    CHECK(one->timeout == milliseconds(1500));
+    CHECK(one->target_latency == milliseconds(600));
+    UNSIGNED_LONGS_EQUAL(2, one->priority);
+    UNSIGNED_LONGS_EQUAL(2, one->attempts);
+    UNSIGNED_LONGS_EQUAL(2, one->services.size());
+    DOUBLES_EQUAL(90, one->services[0].weight, 0);
+    CHECK(configuration.find("b.example", "/y/")->kind == request_kind::non_idempotent);
+    UNSIGNED_LONGS_EQUAL(110, configuration.connections("s2"));
+    CHECK(configuration.limits().idle_timeout == seconds(15));
+}
+
+// Guards against a configuration that is put in force in part.
+TEST(decode_configuration, one_bad_part_refuses_the_whole) {
+    for (auto const& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"Version\":\"r7\"", "\"Version\":\"7\""},
+             {"\"Prefix\":\"/y/\"", "\"Prefix\":\"/y\""},
+             {"\"Kind\":\"non_idempotent\"", "\"Kind\":\"sometimes\""},
+             {"\"TimeoutS\":1.2", "\"TimeoutS\":-1"},
+             {"\"TimeoutS\":1.2", "\"TimeoutS\":\"1\""},
+             {"\"Service\":\"s2\",\"Weight\"", "\"Service\":\"s9\",\"Weight\""},
+             {"\"MaxConnections\":110", "\"MaxConnections\":null"},
+             {"}}]}", "}}"}}) {
+        CHECK_TEXT(!is_ok(decode_configuration(replaced(configuration_text, from, to))),
+                   to.c_str());
+    }
+}
+
+// Guards against bytes that end the process.
+TEST(decode_configuration, mutated_text_is_refused_or_whole) {
+    std::mt19937_64 random(mutation_seed);
+    for (int round = 0; round < mutations; ++round) {
+        auto const read = decode_configuration(mutate(configuration_text, random));
+        if (is_ok(read)) {
+            CHECK(value(read) != nullptr);
+        }
+    }
+}
+
+TEST_GROUP(decode_heartbeat){};
+
+// Guards against a name of the wire that is read into the wrong field.
+TEST(decode_heartbeat, every_field_is_read) {
+    auto const read = decode_heartbeat("i-1", heartbeat_text);
+    CHECK(is_ok(read));
+    auto const& target = value(read);
+    STRCMP_EQUAL("i-1", target.id.c_str());
+    STRCMP_EQUAL("10.0.0.9:80", target.address.c_str());
+    STRCMP_EQUAL("s1", target.service.c_str());
+    UNSIGNED_LONGS_EQUAL(12, target.slots);
+    CHECK(target.state == target_state::ready);
+    CHECK(target.started_ms == 1'700'000'000'123);
+    UNSIGNED_LONGS_EQUAL(4, target.sequence);
+    CHECK(target.warm_up_left == milliseconds(500));
+}
+
+// Guards against records of other writers that name a target to use.
+TEST(decode_heartbeat, unusable_records_are_refused) {
+    for (auto const& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"State\":\"ready\"", "\"State\":\"sleeping\""},
+             {"\"Slots\":12", "\"Slots\":0"},
+             {"\"Slots\":12", "\"Slots\":\"12\""},
+             {"\"Seq\":4", "\"Seq\":4.5"},
+             {"\"born\":1700000000123", "\"born\":\"x\""},
+             {"\"Service\":\"s1\"", "\"Service\":1"},
+             {"\"Info\":{", "\"Inf\":{"}}) {
+        CHECK_TEXT(!is_ok(decode_heartbeat("i-1", replaced(heartbeat_text, from, to))), to.c_str());
+    }
+    std::mt19937_64 random(mutation_seed);
+    for (int round = 0; round < mutations; ++round) {
+        auto const read = decode_heartbeat("i-1", mutate(heartbeat_text, random));
+        if (is_ok(read)) {
+            CHECK(value(read).slots > 0);
+        }
+    }
+}
+
+// Guards against a message of an earlier process of the target that is taken for one of this.
+TEST(decode_heartbeat, start_time_is_read_alone) {
+    CHECK(decode_start_time(R"({"born":12})") == std::optional<std::int64_t>(12));
+    CHECK_FALSE(decode_start_time("").has_value());
+    CHECK_FALSE(decode_start_time(R"({"born":"12"})").has_value());
+}
+
+TEST_GROUP(rollout_records){};
+
+// Guards against an order or a status that the other side does not understand.
+TEST(rollout_records, order_is_read_and_status_written) {
+    auto const order = decode_rollout_order(R"({"Service":"s1","To":"v2","DurationS":12})");
+    CHECK(is_ok(order));
+    CHECK(value(order).duration == seconds(12));
+    rollout state = value(order);
+    state.phase = rollout_phase::rolled_back;
+    STRCMP_EQUAL(R"({"Service":"s1","To":"v2","State":"rolled_back"})",
+                 encode_rollout_status(state).c_str());
+    CHECK_FALSE(is_ok(decode_rollout_order(R"({"Service":"s1","DurationS":12})")));
+}
+
+TEST_GROUP(base64){};
+
+// Guards against values that lose or gain bytes on their way through the store.
+TEST(base64, every_length_is_restored) {
+    std::string bytes;
+    for (int length = 0; length < 100; ++length) {
+        CHECK(from_base64(to_base64(bytes)) == std::optional(bytes));
+        bytes.push_back(static_cast<char>(length * 37));
+    }
+    CHECK_FALSE(from_base64("not base64!").has_value());
+}
+
+TEST_GROUP(bounds){};
+
+// Guards against a figure of the deployment that is read as another one.
+TEST(bounds, known_names_are_read) {
+    auto const bounds = read_bounds({{"RetryBudgetRatio", 0.3}, {"GraceS", 4.5}, {"Other", 1}});
+    DOUBLES_EQUAL(0.3, bounds.retry_ratio, 0);
+    CHECK(bounds.stop_time == milliseconds(4500));
+    CHECK(bounds.drain_time == milliseconds(2000));
+}
--- /dev/null
+++ b/tests/adapter/messages_test.cpp
@@ -0,0 +1,77 @@
+#include "platform/messages.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace peridot;
+
+namespace {
+
+http_response answer(unsigned status, header_list headers) {
+    http_response made;
+    made.status = status;
+    made.headers = std::move(headers);
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(messages){};
+
+// Guards against a success that the target did not give, or gave to another request.
+TEST(messages, only_marked_answers_of_the_attempt_prove_that_it_ran) {
+    CHECK(prove(answer(200, {{"X-Attempt-Id", "a"}, {"X-Server-Seal", "s"}}), "a") ==
+          answer_proof::ran);
+    CHECK(prove(answer(500, {{"X-Attempt-Id", "a"}}), "a") == answer_proof::ran);
+    CHECK(prove(answer(200, {{"X-Attempt-Id", "b"}, {"X-Server-Seal", "s"}}), "a") ==
+          answer_proof::none);
+    CHECK(prove(answer(200, {{"X-Attempt-Id", "a"}}), "a") == answer_proof::none);
+    CHECK(prove(answer(200, {{"X-Server-Seal", "s"}}), "a") == answer_proof::none);
+    CHECK(
+        prove(answer(200,
+                     {{"X-Attempt-Id", "a"}, {"X-Server-Seal", "s"}, {"Content-Encoding", "gzip"}}),
+              "a") == answer_proof::none);
+    CHECK(match_answer(answer(200, {{"X-Attempt-Id", "b"}}), "a") == answer_match::foreign);
+}
+
+// Guards against a refusal of the target that is taken for a failure, and the reverse.
+TEST(messages, only_stated_refusals_prove_that_it_did_not_run) {
+    CHECK(prove(answer(503, {{"X-Not-Executed", "1"}}), "a") == answer_proof::not_run);
+    CHECK(prove(answer(421, {{"X-Instance-Id", "i-2"}}), "a") == answer_proof::not_run);
+    CHECK(prove(answer(503, {{"X-Attempt-Id", "a"}}), "a") == answer_proof::ran);
+    CHECK(prove(answer(503, {}), "a") == answer_proof::none);
+}
+
+// Guards against a target that works on for longer than anybody waits.
+TEST(messages, target_gets_the_time_left_and_whom_it_serves) {
+    http_request request;
+    request.headers.set("X-Attempt-Id", "a");
+    request.headers.set("X-Deadline-Ms", "1500");
+    request.headers.set("X-Caller-Service", "forged");
+    auto const caller = read_caller_request(request);
+    CHECK(caller->time_left == milliseconds(1500));
+    write_target_request(request, milliseconds(900), "i-1", "deposits");
+    STRCMP_EQUAL("900", std::string(request.headers.value("X-Deadline-Ms")).c_str());
+    STRCMP_EQUAL("i-1", std::string(request.headers.value("X-Expect-Instance")).c_str());
+    STRCMP_EQUAL("deposits", std::string(request.headers.value("X-Caller-Service")).c_str());
+    CHECK_FALSE(read_caller_request(http_request{}).has_value());
+}
+
+// Guards against a path that acts on another target than it names.
+TEST(messages, calls_of_the_target_are_told_apart) {
+    http_request request;
+    request.method = "POST";
+    request.target = "/instances/i-1/heartbeat";
+    CHECK(read_target_call(request)->kind == target_call::purpose::heartbeat);
+    request.target = "/instances/i-1/deregister";
+    CHECK(read_target_call(request)->kind == target_call::purpose::deregister);
+    for (char const* path : {"/instances//heartbeat", "/instances/a/b/heartbeat", "/instances/a"}) {
+        request.target = path;
+        CHECK_FALSE(read_target_call(request).has_value());
+    }
+}
+
+// Guards against callers that are told to come back at another time than was meant.
+TEST(messages, retry_after_has_fractions_of_seconds) {
+    auto const made = make_own_answer(503, "a", milliseconds(250));
+    STRCMP_EQUAL("0.250", std::string(made.headers.value("Retry-After")).c_str());
+}
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -6,6 +6,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
@@ -224,3 +225,72 @@
     CHECK(wait_for([&] { return server.requests_in_flight() == 0; }));
     UNSIGNED_LONGS_EQUAL(200, status_of(exchange(address, {"POST", "/", {}, "alive"})));
 }
+
+// Guards against a planned stop that ends the process while the last answer is not written yet.
+TEST(http, answer_counts_as_in_flight_until_it_is_written) {
+    std::atomic<std::size_t> in_flight_after_handler{0};
+    auto const address = server.start([&](http_request) -> boost::asio::awaitable<http_response> {
+        // Runs after the handler has ended and before its answer is written.
+        boost::asio::post(server.io(), [&] {
+            boost::asio::post(server.io(), [&] {
+                in_flight_after_handler = server.server().requests_in_flight();
+            });
+        });
+        co_return http_response{};
+    });
+    UNSIGNED_LONGS_EQUAL(200, status_of(exchange(address, {"GET", "/", {}, {}})));
+    CHECK(wait_for([&] { return in_flight_after_handler == 1; }));
+    CHECK(wait_for([&] { return server.requests_in_flight() == 0; }));
+}
+
+// Guards against pipelined requests that run one after the other, and against answers that come in
+// the order in which they are ready.
+TEST(http, pipelined_requests_run_together_and_are_answered_in_order) {
+    std::atomic<int> begun{0};
+    auto const address =
+        server.start([&](http_request request) -> boost::asio::awaitable<http_response> {
+            ++begun;
+            boost::asio::steady_timer timer(server.io());
+            // The first request ends only once the last one has begun.
+            while (request.target == "/1" && begun < 3) {
+                timer.expires_after(milliseconds(1));
+                co_await timer.async_wait(boost::asio::use_awaitable);
+            }
+            co_return http_response{200, {}, "answer to " + request.target};
+        });
+    std::string const text = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                             "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    auto const answers = send_and_read(address, text);
+    auto const first = answers.find("answer to /1");
+    auto const second = answers.find("answer to /2");
+    auto const third = answers.find("answer to /3");
+    CHECK(first != std::string::npos && third != std::string::npos);
+    CHECK(first < second && second < third);
+}
+
+// Guards against a late answer to an earlier request that is delivered to the next one, and against
+// its own answer being lost then.
+TEST(http, answers_to_other_requests_are_skipped) {
+    raw_peer const peer("HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold"
+                        "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 3\r\n\r\nown");
+    exchange_options options;
+    options.match = [](http_response const& answer) {
+        return answer.headers.value("X-Id") == "own" ? answer_match::own : answer_match::foreign;
+    };
+    auto outcome = boost::asio::co_spawn(
+        context,
+        connections.exchange(peer.address(), {"GET", "/", {}, {}},
+                             std::chrono::steady_clock::now() + seconds(30), options),
+        boost::asio::use_future);
+    context.run();
+    auto const exchanged = outcome.get();
+    UNSIGNED_LONGS_EQUAL(200, status_of(exchanged));
+    STRCMP_EQUAL("own", std::get<http_response>(exchanged).body.c_str());
+}
+
+// Guards against bytes behind an answer that are taken for the answer to the next request.
+TEST(http, connection_with_bytes_behind_the_answer_is_not_kept) {
+    raw_peer const peer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+    UNSIGNED_LONGS_EQUAL(200, status_of(exchange(peer.address(), {"GET", "/", {}, {}})));
+    UNSIGNED_LONGS_EQUAL(0, connections.connections(peer.address()));
+}
--- a/tests/http/raw_client.cpp
+++ b/tests/http/raw_client.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -32,6 +33,17 @@
     socket.read_some(asio::buffer(answer), ignored);
 }
 
+std::string send_and_read(socket_address const& address, std::string const& bytes) {
+    asio::io_context context;
+    tcp::socket socket(context);
+    connect(socket, address);
+    boost::system::error_code ended;
+    asio::write(socket, asio::buffer(bytes), ended);
+    std::string answers;
+    asio::read(socket, asio::dynamic_buffer(answers), ended);
+    return answers;
+}
+
 void wait_until_closed(socket_address const& address) {
     asio::io_context context;
     tcp::socket socket(context);
--- a/tests/http/raw_client.h
+++ b/tests/http/raw_client.h
@@ -11,6 +11,9 @@
 /// Sends the bytes on a new connection, then closes it without waiting for an answer.
 void send_and_close(socket_address const& address, std::string const& bytes);
 
+/// Sends the bytes on a new connection and reads until the server closes it.
+std::string send_and_read(socket_address const& address, std::string const& bytes);
+
 /// Opens a connection and waits until the server closes it.
 void wait_until_closed(socket_address const& address);
 
--- a/tests/http/served_thread.cpp
+++ b/tests/http/served_thread.cpp
@@ -44,4 +44,8 @@
     return asio::post(this->self->context, asio::use_future(read)).get();
 }
 
+http_server& served_thread::server() {
+    return *this->self->server;
+}
+
 } // namespace peridot::http_tests
--- a/tests/http/served_thread.h
+++ b/tests/http/served_thread.h
@@ -22,6 +22,8 @@
     socket_address start(http_server::handler respond, http_limits limits = {});
     boost::asio::io_context& io();
     std::size_t requests_in_flight();
+    /// Only for use on the server's thread.
+    http_server& server();
 
 private:
     class implementation;
--- /dev/null
+++ b/tests/mesh/decisions_test.cpp
@@ -0,0 +1,228 @@
+#include "mesh/mesh_configuration.h"
+#include "mesh/rollout_plan.h"
+#include "mesh/row_replica.h"
+#include "mesh/target_tracker.h"
+#include "mesh/version_share.h"
+#include "mesh/weighted_choice.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <cmath>
+
+using namespace peridot;
+
+namespace {
+
+constexpr char const* address = "10.0.0.1:80";
+
+target_record heartbeat(std::string const& id, std::int64_t started_ms, std::uint64_t sequence,
+                        target_state state = target_state::ready) {
+    target_record announced;
+    announced.id = id;
+    announced.address = address;
+    announced.service = "deposits";
+    announced.version = "v1";
+    announced.slots = 4;
+    announced.started_ms = started_ms;
+    announced.sequence = sequence;
+    announced.state = state;
+    return announced;
+}
+
+mesh_route route(std::string const& name, std::string const& host, std::string const& prefix) {
+    mesh_route made;
+    made.name = name;
+    made.host = host;
+    made.prefix = prefix;
+    made.services = {{"deposits", 1}};
+    return made;
+}
+
+member instance(std::string const& name, std::string const& version, std::uint64_t revision = 1) {
+    member made;
+    made.instance = name;
+    made.target.version = version;
+    made.revision = revision;
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(mesh_configuration) {
+    mesh_configuration configuration{7,
+                                     {route("short", "a.example", "/x/"),
+                                      route("long", "a.example", "/x/y/"),
+                                      route("other", "b.example", "/")},
+                                     {{"deposits", 120}},
+                                     {}};
+
+    std::string found(std::string_view host, std::string_view path) const {
+        auto const* match = this->configuration.find(host, path);
+        return match == nullptr ? std::string("none") : match->name;
+    }
+};
+
+// Guards against requests that reach the service of another route.
+TEST(mesh_configuration, longest_prefix_of_the_host_is_taken) {
+    STRCMP_EQUAL("short", found("a.example", "/x/1").c_str());
+    STRCMP_EQUAL("long", found("a.example", "/x/y/1").c_str());
+    STRCMP_EQUAL("short", found("a.example", "/x/y").c_str());
+    STRCMP_EQUAL("none", found("a.example", "/xy/1").c_str());
+    STRCMP_EQUAL("none", found("c.example", "/x/1").c_str());
+}
+
+// Guards against a port, letters in upper case or a query with slashes that hide a route.
+TEST(mesh_configuration, port_case_and_query_do_not_matter) {
+    STRCMP_EQUAL("short", found("A.Example:8080", "/x/1?next=/x/y/").c_str());
+    STRCMP_EQUAL("other", found("b.example", "/").c_str());
+    STRCMP_EQUAL("none", found("a.example", "x").c_str());
+}
+
+TEST_GROUP(target_tracker) {
+    target_tracker tracker{address, "deposits"};
+};
+
+// Guards against late, repeated and forged announcements that put an ended target back in force.
+TEST(target_tracker, older_announcements_are_ignored) {
+    CHECK(tracker.announce(heartbeat("i-1", 100, 4)) == target_change::updated);
+    CHECK(tracker.announce(heartbeat("i-0", 50, 90)) == target_change::ignored);
+    CHECK(tracker.announce(heartbeat("i-1", 100, 3)) == target_change::ignored);
+    CHECK(tracker.announce(heartbeat("i-1", 100, 5)) == target_change::none);
+    auto other = heartbeat("i-9", 200, 1);
+    other.address = "10.0.0.2:80";
+    CHECK(tracker.announce(other) == target_change::ignored);
+    STRCMP_EQUAL("i-1", tracker.current()->id.c_str());
+}
+
+// Guards against new work for a target that has said that it leaves.
+TEST(target_tracker, leaving_target_does_not_come_back) {
+    tracker.announce(heartbeat("i-1", 100, 1));
+    CHECK(tracker.announce(heartbeat("i-1", 100, 3, target_state::draining)) ==
+          target_change::updated);
+    tracker.announce(heartbeat("i-1", 100, 4));
+    CHECK(tracker.current()->state == target_state::draining);
+    CHECK(tracker.deregister("i-1", 100) == target_change::updated);
+    tracker.announce(heartbeat("i-1", 100, 5));
+    CHECK(tracker.current()->state == target_state::gone);
+}
+
+// Guards against a target that restarts under its old id, counts anew, and is taken for late.
+TEST(target_tracker, restarted_target_with_the_same_id_is_new) {
+    tracker.announce(heartbeat("i-1", 100, 40, target_state::draining));
+    CHECK(tracker.announce(heartbeat("i-1", 200, 1)) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::ready);
+    CHECK(tracker.deregister("i-1", 100) == target_change::ignored);
+    CHECK(tracker.current()->state == target_state::ready);
+}
+
+// Guards against a restarted node that forgets that its target leaves.
+TEST(target_tracker, record_of_an_earlier_process_is_restored) {
+    CHECK(tracker.restore(heartbeat("i-1", 100, 0, target_state::gone)) == target_change::updated);
+    tracker.announce(heartbeat("i-1", 100, 5));
+    CHECK(tracker.current()->state == target_state::gone);
+    CHECK(tracker.restore(heartbeat("i-2", 100, 0)) == target_change::ignored);
+}
+
+TEST_GROUP(row_replica) {
+    row_replica replica;
+};
+
+// Guards against a row that goes back to an older value when copies cross.
+TEST(row_replica, older_rows_change_nothing) {
+    CHECK(replica.apply({"t", "a", "new", 5, false}));
+    CHECK_FALSE(replica.apply({"t", "a", "old", 4, false}));
+    CHECK_FALSE(replica.apply({"t", "a", "same", 5, false}));
+    STRCMP_EQUAL("new", replica.find("t", "a")->value.c_str());
+    CHECK(replica.apply({"t", "a", "", 6, true}));
+    CHECK(replica.find("t", "a") == nullptr);
+    CHECK_FALSE(replica.apply({"t", "a", "old", 5, false}));
+}
+
+// Guards against rows that stay in force after they were removed while the history was lost.
+TEST(row_replica, rows_missing_from_a_whole_reading_are_removed) {
+    replica.apply({"t", "a", "1", 1, false});
+    replica.apply({"t", "b", "2", 2, false});
+    replica.apply({"t", "late", "3", 9, false});
+    replica.apply({"u", "c", "4", 3, false});
+    CHECK(replica.replace_table("t", {{"t", "b", "2", 2, false}}, 7));
+    CHECK(replica.find("t", "a") == nullptr);
+    CHECK(replica.find("t", "b") != nullptr);
+    CHECK(replica.find("t", "late") != nullptr);
+    CHECK(replica.find("u", "c") != nullptr);
+}
+
+TEST_GROUP(version_share) {
+    std::vector<member> members{instance("a", "v1"), instance("b", "v1"), instance("c", "v2", 8),
+                                instance("d", "v2", 9)};
+    rollout current{"deposits", "v2", seconds(16), 1, rollout_phase::running, 0, 0.05, {}};
+};
+
+// Guards against requests for targets of a new version before anybody has ordered it.
+TEST(version_share, new_version_gets_nothing_without_an_order) {
+    auto const shares = version_shares(members, nullptr);
+    LONGS_EQUAL(1, shares.size());
+    DOUBLES_EQUAL(1.0, shares.at("v1"), 0);
+}
+
+// Guards against a share that is not the one in force, and against requests for a version that was
+// taken back.
+TEST(version_share, phase_decides_the_shares) {
+    DOUBLES_EQUAL(0.05, version_shares(members, &current).at("v2"), 1e-9);
+    DOUBLES_EQUAL(0.95, version_shares(members, &current).at("v1"), 1e-9);
+    current.phase = rollout_phase::rolled_back;
+    CHECK_FALSE(version_shares(members, &current).contains("v2"));
+    current.phase = rollout_phase::complete;
+    CHECK_FALSE(version_shares(members, &current).contains("v1"));
+}
+
+// Guards against a version that is bad only under load and shows it at a large share only.
+TEST(version_share, small_share_goes_to_few_targets) {
+    LONGS_EQUAL(1, members_in_use(members, "v2", &current).size());
+    current.share = 1;
+    LONGS_EQUAL(2, members_in_use(members, "v2", &current).size());
+    LONGS_EQUAL(2, members_in_use(members, "v1", &current).size());
+}
+
+TEST_GROUP(weighted_choice) {
+    weighted_choice choice;
+};
+
+// Guards against shares that stray from their weights within a short span.
+TEST(weighted_choice, every_span_keeps_to_the_weights) {
+    std::array<int, 2> counts{};
+    for (int round = 1; round <= 100; ++round) {
+        ++counts.at(choice.next({90, 10}));
+        CHECK(std::abs(counts[1] - round * 0.1) <= 1.0);
+    }
+    LONGS_EQUAL(10, counts[1]);
+}
+
+TEST_GROUP(rollout_plan) {
+    rollout current{"deposits", "v2", seconds(16), 3, rollout_phase::running, 0, 0, seconds(100)};
+};
+
+// Guards against a plan that gives a bad version more than a tenth of the requests before its last
+// step, and against a last step that leaves no time to complete.
+TEST(rollout_plan, shares_before_the_last_step_stay_small) {
+    auto const plan = plan_of(current);
+    double exposure = 0;
+    for (std::size_t index = 0; index + 1 < plan.ramp.size(); ++index) {
+        auto const time = plan.ramp[index + 1].earliest - plan.ramp[index].earliest;
+        exposure += plan.ramp[index].share * std::chrono::duration<double>(time).count();
+    }
+    auto const whole = std::chrono::duration<double>(current.duration).count();
+    CHECK(exposure / whole <= 0.06);
+    DOUBLES_EQUAL(1.0, plan.ramp.back().share, 0);
+    CHECK(plan.ramp.back().earliest <= plan.start + current.duration * 2 / 3);
+}
+
+// Guards against old targets that are stopped as soon as the last step begins.
+TEST(rollout_plan, roll_out_ends_some_time_after_the_last_step) {
+    current.share = 0.25;
+    CHECK_FALSE(is_rollout_over(current, seconds(100), seconds(115)));
+    current.share = 1;
+    CHECK_FALSE(is_rollout_over(current, seconds(110), seconds(110) + milliseconds(500)));
+    CHECK(is_rollout_over(current, seconds(110), seconds(112)));
+    CHECK(is_rollout_over(current, seconds(115), seconds(115)));
+}
--- /dev/null
+++ b/tests/mesh/gate_queue_test.cpp
@@ -0,0 +1,195 @@
+#include "mesh/gate_queue.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <vector>
+
+using namespace peridot;
+
+namespace {
+
+boot_time const begin{std::chrono::hours(1)};
+
+gate_request request(std::uint64_t id, std::string const& route, boot_time now, milliseconds target,
+                     milliseconds deadline) {
+    return {id, route, 2, now + target, now + deadline, now + deadline};
+}
+
+bool is_started(gate_decision const& decision) {
+    return std::holds_alternative<gate_start>(decision);
+}
+
+bool is_waiting(gate_decision const& decision) {
+    return std::holds_alternative<gate_wait>(decision);
+}
+
+bool is_refused(gate_decision const& decision) {
+    return std::holds_alternative<gate_refusal>(decision);
+}
+
+} // namespace
+
+TEST_GROUP(gate_queue) {
+    gate_queue queue;
+    std::uint64_t next_id = 0;
+
+    // Makes a route known as one that takes the given time.
+    void teach(std::string const& route, milliseconds time, boot_time now) {
+        for (int round = 0; round < 40; ++round) {
+            auto const id = ++this->next_id;
+            this->queue.offer(request(id, route, now, seconds(100), seconds(100)), now);
+            this->queue.finish(id, true, now + time);
+        }
+    }
+};
+
+// Guards against more requests at the target than it has slots: some targets leave such a request's
+// connection without any answer.
+TEST(gate_queue, target_never_has_more_requests_than_slots) {
+    queue.set_slots(2);
+    CHECK(is_started(queue.offer(request(1, "a", begin, seconds(1), seconds(2)), begin)));
+    CHECK(is_started(queue.offer(request(2, "a", begin, seconds(1), seconds(2)), begin)));
+    CHECK(is_waiting(queue.offer(request(3, "a", begin, seconds(1), seconds(2)), begin)));
+    CHECK(queue.dispatch(begin).started.empty());
+    queue.finish(1, true, begin + milliseconds(100));
+    auto const leaving = queue.dispatch(begin + milliseconds(100));
+    LONGS_EQUAL(1, leaving.started.size());
+    LONGS_EQUAL(3, leaving.started.front());
+}
+
+// Guards against a request that waits until its deadline although it was clear from the start that
+// it could not be served.
+TEST(gate_queue, hopeless_request_is_refused_at_once) {
+    queue.set_slots(1);
+    teach("long", seconds(1), begin);
+    CHECK(is_started(queue.offer(request(1001, "long", begin, seconds(5), seconds(5)), begin)));
+    auto const refused =
+        queue.offer(request(1002, "long", begin, milliseconds(300), milliseconds(600)), begin);
+    CHECK(is_refused(refused));
+    CHECK(std::get<gate_refusal>(refused).retry_after > milliseconds(0));
+}
+
+// Guards against a short route that is refused for ever after a restart: it was taken to need the
+// time of the long routes, so every request of it seemed too late and none was ever timed.
+TEST(gate_queue, route_without_known_time_is_not_judged_by_others) {
+    queue.set_slots(1);
+    teach("long", milliseconds(900), begin);
+    CHECK(is_started(queue.offer(request(1001, "long", begin, seconds(5), seconds(5)), begin)));
+    auto const now = begin + milliseconds(800);
+    CHECK(is_waiting(
+        queue.offer(request(1002, "short", now, milliseconds(200), milliseconds(600)), now)));
+}
+
+// Guards against a mean time that became too high while a target was slow, and that refuses every
+// request from then on so that it is never corrected.
+TEST(gate_queue, too_high_mean_does_not_refuse_for_ever) {
+    queue.set_slots(1);
+    teach("slow", seconds(5), begin);
+    teach("other", milliseconds(100), begin);
+    CHECK(is_started(queue.offer(request(1001, "other", begin, seconds(1), seconds(2)), begin)));
+    CHECK(is_waiting(queue.offer(request(1002, "slow", begin, seconds(1), seconds(2)), begin)));
+}
+
+// Guards against urgent requests that wait behind ones that can no longer be in time.
+TEST(gate_queue, requests_that_can_be_in_time_go_first) {
+    queue.set_slots(1);
+    teach("a", milliseconds(100), begin);
+    CHECK(is_started(queue.offer(request(1001, "a", begin, seconds(2), seconds(9)), begin)));
+    CHECK(is_waiting(queue.offer(request(1002, "a", begin, milliseconds(10), seconds(9)), begin)));
+    CHECK(is_waiting(queue.offer(request(1003, "a", begin, milliseconds(900), seconds(9)), begin)));
+    CHECK(is_waiting(queue.offer(request(1004, "a", begin, milliseconds(500), seconds(9)), begin)));
+    std::vector<std::uint64_t> order;
+    std::uint64_t running = 1001;
+    for (int step = 1; step <= 3; ++step) {
+        auto const now = begin + milliseconds(100) * step;
+        queue.finish(running, true, now);
+        auto const leaving = queue.dispatch(now);
+        LONGS_EQUAL(1, leaving.started.size());
+        running = leaving.started.front();
+        order.push_back(running);
+    }
+    CHECK((order == std::vector<std::uint64_t>{1004, 1003, 1002}));
+}
+
+// Guards against work that is passed on although its caller gave up while the process was
+// suspended.
+TEST(gate_queue, expired_requests_leave_without_running) {
+    queue.set_slots(1);
+    CHECK(is_started(queue.offer(request(1, "a", begin, seconds(1), seconds(2)), begin)));
+    CHECK(is_waiting(queue.offer(request(2, "a", begin, seconds(1), seconds(2)), begin)));
+    auto const later = begin + seconds(10);
+    queue.finish(1, true, later);
+    auto const leaving = queue.dispatch(later);
+    CHECK(leaving.started.empty());
+    LONGS_EQUAL(1, leaving.refused.size());
+    CHECK(is_refused(queue.offer(request(3, "a", begin, seconds(1), seconds(2)), later)));
+}
+
+// Guards against requests that stay behind when the target leaves.
+TEST(gate_queue, leaving_target_refuses_all_that_waits) {
+    queue.set_slots(1);
+    queue.offer(request(1, "a", begin, seconds(1), seconds(2)), begin);
+    queue.offer(request(2, "a", begin, seconds(1), seconds(2)), begin);
+    queue.set_slots(0);
+    auto const leaving = queue.refuse_all(result_code::request_draining);
+    LONGS_EQUAL(1, leaving.refused.size());
+    CHECK(leaving.refused.front().second.reason == result_code::request_draining);
+    CHECK(is_refused(queue.offer(request(3, "a", begin, seconds(1), seconds(2)), begin)));
+}
+
+// Guards against the collapse of overload: at twice the capacity the slots have to go to requests
+// whose answers are in time, and what cannot be served has to be told so early. Replays a steady
+// load of twice the capacity for 20 s.
+TEST(gate_queue, overload_keeps_answers_in_time) {
+    constexpr unsigned slots = 12;
+    constexpr milliseconds work{200};
+    constexpr milliseconds target{600};
+    constexpr milliseconds deadline{1500};
+    constexpr milliseconds gap{8};
+    queue.set_slots(slots);
+    teach("a", work, begin);
+    struct running {
+        boot_time end;
+        boot_time arrived;
+        std::uint64_t id;
+    };
+    std::vector<running> at_target;
+    std::map<std::uint64_t, boot_time> arrivals;
+    int in_time = 0;
+    int answered = 0;
+    milliseconds longest_hold{0};
+    std::uint64_t id = 10'000;
+    for (auto now = begin; now < begin + seconds(20); now += milliseconds(1)) {
+        std::erase_if(at_target, [&](running const& done) {
+            if (done.end > now) {
+                return false;
+            }
+            queue.finish(done.id, true, now);
+            ++answered;
+            in_time += now - done.arrived <= target ? 1 : 0;
+            return true;
+        });
+        if ((now - begin) % gap == nanoseconds(0)) {
+            ++id;
+            arrivals[id] = now;
+            if (is_started(queue.offer(request(id, "a", now, target, deadline), now))) {
+                at_target.push_back({now + work, now, id});
+            }
+        }
+        auto const leaving = queue.dispatch(now);
+        for (auto const started : leaving.started) {
+            at_target.push_back({now + work, arrivals[started], started});
+        }
+        for (auto const& [refused, reason] : leaving.refused) {
+            longest_hold = std::max(
+                longest_hold, std::chrono::duration_cast<milliseconds>(now - arrivals[refused]));
+        }
+    }
+    auto const capacity = 20 * 1000 / work.count() * slots;
+    CHECK_TEXT(answered > capacity * 9 / 10, "the slots were not used");
+    CHECK_TEXT(in_time > capacity * 8 / 10, "too few answers were in time");
+    CHECK_TEXT(longest_hold < deadline, "a request was held to its deadline and then refused");
+}
