--- a/libraries/mesh/target_tracker.h
+++ b/libraries/mesh/target_tracker.h
@@ -3,6 +3,7 @@
 #include "mesh/target_record.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,7 +31,8 @@
     target_tracker(std::string address, std::string service);
 
     target_change announce(target_record const& announced);
-    /// The target leaves at once. Without a start time the id alone decides.
+    /// The target leaves at once. Without a start time the id alone decides. A target that is not known
+    /// yet is taken to leave as soon as it is, since a restarted node hears of it late.
     target_change deregister(std::string_view id, std::optional<std::int64_t> started_ms);
 
     /// Takes over what an earlier process of the node had recorded, unless something newer is
@@ -40,11 +42,19 @@
     std::optional<target_record> const& current() const { return this->known; }
 
 private:
+    /// A target that has left, as it said it.
+    struct departure {
+        std::string id;
+        std::optional<std::int64_t> started_ms;
+    };
+
     bool is_older(target_record const& announced) const;
+    bool has_departed(target_record const& announced) const;
 
     std::string address;
     std::string service;
     std::optional<target_record> known;
+    std::deque<departure> departures;
 };
 
 } // namespace peridot
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -42,6 +42,7 @@
 // Left of the time to stop for closing connections.
 constexpr milliseconds stop_margin{400};
 constexpr milliseconds closing_time{50};
+constexpr milliseconds stopping_retry_after{200};
 // A node that knows its configuration and no target yet still forwards requests to others.
 constexpr milliseconds target_patience{2500};
 constexpr std::size_t store_answer_bytes = std::size_t{8} * 1024 * 1024;
@@ -156,6 +157,18 @@
     }
 
 private:
+    // A request that is taken late in a planned stop could not be finished, so it is sent away.
+    asio::awaitable<http_response> respond_to_caller(http_request request) {
+        if (this->refuses_callers) {
+            auto const caller = read_caller_request(request);
+            auto answer = make_own_answer(status_unavailable, caller ? caller->attempt_id : "",
+                                          stopping_retry_after);
+            answer.ends_connection = true;
+            co_return answer;
+        }
+        co_return co_await this->entry.respond(std::move(request));
+    }
+
     asio::awaitable<http_response> respond_to_peer(http_request request) {
         auto call = take_hop_call(request, boot_clock::now());
         if (!call) {
@@ -269,7 +282,8 @@
         while (boot_clock::now() < latest) {
             bool const is_idle =
                 this->calls.requests_in_flight() == 0 && this->peers.requests_in_flight() == 0;
-            if (is_idle && boot_clock::now() - begun >= stop_notice) {
+            this->refuses_callers = boot_clock::now() - begun >= stop_notice;
+            if (is_idle && this->refuses_callers && this->announcements.is_recorded()) {
                 break;
             }
             timer.expires_after(stop_poll);
@@ -312,6 +326,7 @@
     std::uint64_t asked_version = 0;
     bool has_target = false;
     bool is_stopping = false;
+    bool refuses_callers = false;
 };
 
 sidecar_node::sidecar_node(std::unique_ptr<implementation> implementation)
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -17,6 +17,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <atomic>
 
 namespace peridot {
 
@@ -106,12 +107,15 @@
 
     bool has_target() const { return this->tracker.current().has_value(); }
 
+    bool is_recorded() const { return !this->is_recording; }
+
 private:
     static asio::awaitable<void> restore(std::shared_ptr<implementation> self) {
         log::write(log::level::info, "target_restored",
                    {{"target", self->tracker.current()->id},
                     {"state", std::string(state_name(self->tracker.current()->state))}});
         co_await self->apply(self->tracker.current());
+        self->start_recording();
     }
 
     // No value for a message that cannot be used.
@@ -136,8 +140,11 @@
                     {"state", std::string(state_name(current.state))},
                     {"sequence", static_cast<std::int64_t>(current.sequence)}});
         co_await this->apply(this->tracker.current());
-        if (!this->is_recording) {
-            this->is_recording = true;
+        this->start_recording();
+    }
+
+    void start_recording() {
+        if (!this->is_recording.exchange(true)) {
             asio::co_spawn(this->context, record(this->shared_from_this()), asio::detached);
         }
     }
@@ -207,7 +214,7 @@
     apply_function apply;
     target_tracker tracker;
     std::string recorded;
-    bool is_recording = false;
+    std::atomic<bool> is_recording{false};
 };
 
 target_announcements::target_announcements(asio::io_context& context,
@@ -229,4 +236,8 @@
     return this->self->has_target();
 }
 
+bool target_announcements::is_recorded() const {
+    return this->self->is_recorded();
+}
+
 } // namespace peridot
--- a/libraries/sidecar/target_announcements.h
+++ b/libraries/sidecar/target_announcements.h
@@ -44,6 +44,9 @@
 
     bool has_target() const;
 
+    /// Whether the store holds what the target has announced. Safe from any thread.
+    bool is_recorded() const;
+
 private:
     class implementation;
     std::shared_ptr<implementation> self;
