--- a/libraries/mesh/target_tracker.h
+++ b/libraries/mesh/target_tracker.h
@@ -31,8 +31,8 @@
     target_tracker(std::string address, std::string service);
 
     target_change announce(target_record const& announced);
-    /// The target leaves at once. Without a start time the id alone decides. A target that is not known
-    /// yet is taken to leave as soon as it is, since a restarted node hears of it late.
+    /// The target leaves at once. Without a start time the id alone decides. A target that is not
+    /// known yet is taken to leave as soon as it is, since a restarted node hears of it late.
     target_change deregister(std::string_view id, std::optional<std::int64_t> started_ms);
 
     /// Takes over what an earlier process of the node had recorded, unless something newer is
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -29,6 +29,9 @@
 namespace asio = boost::asio;
 
 constexpr milliseconds period{250};
+// At a large share a bad version reaches many callers before the next look.
+constexpr milliseconds short_period{80};
+constexpr double large_share = 0.2;
 constexpr milliseconds idle_period{500};
 constexpr milliseconds evidence_timeout{400};
 constexpr milliseconds evidence_connect_timeout{200};
@@ -69,8 +72,7 @@
     static asio::awaitable<void> run(std::shared_ptr<implementation> self) {
         asio::steady_timer timer(self->context);
         for (;;) {
-            bool const is_busy = co_await self->step();
-            timer.expires_after(is_busy ? period : idle_period);
+            timer.expires_after(co_await self->step());
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
     }
@@ -117,21 +119,22 @@
         return this->states.emplace(current.order, steered(current)).first->second;
     }
 
-    // Whether a roll-out is under way.
-    asio::awaitable<bool> step() {
+    // Gives the time until the next step.
+    asio::awaitable<milliseconds> step() {
         auto const current = this->running();
         if (!current) {
-            co_return false;
+            co_return idle_period;
         }
+        auto const next = current->share >= large_share ? short_period : period;
         auto const steering = this->steering_member();
         if (!steering) {
-            co_return true;
+            co_return next;
         }
         co_await this->report(*current, *steering);
         if (steering->instance == this->instance) {
             co_await this->steer(*current);
         }
-        co_return true;
+        co_return next;
     }
 
     // The first member of the service that is not known to be out of reach.
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -124,8 +124,8 @@
     CHECK(tracker.restore(heartbeat("i-2", 100, 0)) == target_change::ignored);
 }
 
-// Guards against requests for a target whose leaving a restarted node has acknowledged before it knew
-// of the target (kcg-mesh, a deregister between the start of the node and its first read).
+// Guards against requests for a target whose leaving a restarted node has acknowledged before it
+// knew of the target (kcg-mesh, a deregister between the start of the node and its first read).
 TEST(target_tracker, departure_before_the_record_is_known_counts) {
     CHECK(tracker.deregister("i-1", std::nullopt) == target_change::ignored);
     tracker.restore(heartbeat("i-1", 100, 0));
