tests: run sidecars as processes against a store and targets of their own

Covers a request that runs once, a target that leaves while its node is killed, configurations that are replaced under load, planned stops, killed and frozen nodes, the store out at a restart, and a bad version.

--- /dev/null
+++ b/tests/processes/sidecar/mesh_target.cpp
@@ -0,0 +1,166 @@
+#include "processes/sidecar/mesh_target.h"
+
+#include "http/http_server.h"
+#include "processes/support/http_caller.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace peridot::processes {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr milliseconds heartbeat_period{200};
+constexpr unsigned slots = 8;
+
+} // namespace
+
+class mesh_target::implementation {
+public:
+    implementation(socket_address const& address, socket_address const& node, std::string own_id,
+                   std::string own_service, std::string own_version)
+        : own(address)
+        , heartbeats(node)
+        , id(std::move(own_id))
+        , service(std::move(own_service))
+        , version(std::move(own_version))
+        , connections(context)
+        , server(context,
+                 [this](http_request request) { return this->respond(std::move(request)); }) {
+        this->server.listen(address);
+        asio::co_spawn(this->context, this->announce(), asio::detached);
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~implementation() {
+        this->context.stop();
+        this->thread.join();
+    }
+    implementation(implementation const&) = delete;
+    implementation& operator=(implementation const&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
+    asio::awaitable<http_response> respond(http_request request) {
+        std::string const attempt(request.headers.value("X-Attempt-Id"));
+        http_response answer;
+        answer.headers.set("X-Attempt-Id", attempt);
+        answer.headers.set("X-Server-Load", "0,0,8");
+        if (request.headers.value("X-Expect-Instance") != this->id) {
+            answer.status = 421;
+            co_return answer;
+        }
+        {
+            std::lock_guard const guard(this->lock);
+            ++this->runs[attempt];
+            this->last_caller = request.headers.value("X-Caller-Service");
+        }
+        asio::steady_timer work(this->context, this->work_time.load());
+        co_await work.async_wait(asio::use_awaitable);
+        answer.headers.set("X-Server-Seal", "seal-of-" + this->id);
+        answer.status = this->is_failing ? 500 : 200;
+        answer.body = "done by " + this->id;
+        co_return answer;
+    }
+
+    asio::awaitable<void> announce() {
+        asio::steady_timer timer(this->context);
+        for (std::uint64_t sequence = 1; !this->is_silent; ++sequence) {
+            http_request heartbeat;
+            heartbeat.method = "POST";
+            heartbeat.target = "/instances/" + this->id + "/heartbeat";
+            json::object body;
+            body["Address"] = to_string(this->own);
+            body["Info"] = {{"Service", this->service},
+                            {"Version", this->version},
+                            {"Zone", "ariana"},
+                            {"Slots", slots}};
+            body["Status"] = {{"State", "ready"}, {"Seq", sequence}, {"ColdRemainingS", 0}};
+            body["born"] = 1'700'000'000'000;
+            heartbeat.body = json::serialize(body);
+            auto const limit = std::chrono::steady_clock::now() + seconds(1);
+            co_await this->connections.exchange(this->heartbeats, std::move(heartbeat), limit);
+            timer.expires_after(heartbeat_period);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
+    socket_address own;
+    socket_address heartbeats;
+    std::string id;
+    std::string service;
+    std::string version;
+    asio::io_context context{1};
+    connection_pool connections;
+    http_server server;
+    std::thread thread;
+    std::atomic<milliseconds> work_time{milliseconds(1)};
+    std::atomic<bool> is_failing{false};
+    std::atomic<bool> is_silent{false};
+    mutable std::mutex lock;
+    std::map<std::string, std::size_t> runs;
+    std::string last_caller;
+};
+
+mesh_target::mesh_target(socket_address const& address, socket_address const& heartbeats,
+                         std::string id, std::string service, std::string version)
+    : self(std::make_unique<implementation>(address, heartbeats, std::move(id), std::move(service),
+                                            std::move(version))) {}
+
+mesh_target::~mesh_target() = default;
+
+void mesh_target::set_work(milliseconds time) {
+    this->self->work_time = time;
+}
+
+void mesh_target::set_failing(bool is_failing) {
+    this->self->is_failing = is_failing;
+}
+
+void mesh_target::silence() {
+    this->self->is_silent = true;
+}
+
+bool mesh_target::deregister() {
+    this->silence();
+    http_request call;
+    call.method = "POST";
+    call.target = "/instances/" + this->self->id + "/deregister";
+    http_caller caller;
+    auto const answer = caller.call(this->self->heartbeats, call);
+    return answer && answer->status == 200;
+}
+
+std::size_t mesh_target::ran(std::string const& attempt) const {
+    std::lock_guard const guard(this->self->lock);
+    auto const found = this->self->runs.find(attempt);
+    return found == this->self->runs.end() ? 0 : found->second;
+}
+
+std::size_t mesh_target::ran() const {
+    std::lock_guard const guard(this->self->lock);
+    std::size_t sum = 0;
+    for (auto const& [attempt, count] : this->self->runs) {
+        sum += count;
+    }
+    return sum;
+}
+
+std::string mesh_target::calling_service() const {
+    std::lock_guard const guard(this->self->lock);
+    return this->self->last_caller;
+}
+
+} // namespace peridot::processes
--- /dev/null
+++ b/tests/processes/sidecar/sidecar_fleet.cpp
@@ -0,0 +1,147 @@
+#include "processes/sidecar/sidecar_fleet.h"
+
+#include "processes/support/http_caller.h"
+
+#include <CppUTest/TestHarness.h>
+#include <boost/json.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <unistd.h>
+
+namespace peridot::processes {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr int subnet_range = 200;
+constexpr int first_host = 10;
+constexpr std::uint16_t target_port = 18'301;
+constexpr std::uint16_t calls_port = 18'304;
+constexpr std::uint16_t peers_port = 18'300;
+constexpr std::uint16_t ready_port = 18'302;
+constexpr std::uint16_t heartbeats_port = 18'306;
+constexpr std::uint16_t control_port = 18'320;
+
+std::string make_subnet() {
+    auto const id = static_cast<int>(::getpid());
+    return "127." + std::to_string(1 + id % subnet_range) + "." +
+           std::to_string(1 + id / subnet_range % subnet_range) + ".";
+}
+
+std::filesystem::path make_directory() {
+    auto pattern = (std::filesystem::temp_directory_path() / "peridot-sidecar-XXXXXX").string();
+    auto const* made = ::mkdtemp(pattern.data());
+    CHECK(made != nullptr);
+    return pattern;
+}
+
+json::object route_json(std::string const& name, std::string const& prefix,
+                        std::string const& kind) {
+    json::object const spec{{"Host", "mesh.example"}, {"Prefix", prefix}, {"Kind", kind},
+                            {"TimeoutS", 10},         {"Priority", 1},    {"Service", "deposits"},
+                            {"TargetLatencyS", 5},    {"Attempts", 3}};
+    return {{"TypeUrl", "Routes"}, {"Metadata", {{"Name", name}}}, {"Spec", spec}};
+}
+
+} // namespace
+
+sidecar_fleet::sidecar_fleet() : directory(make_directory()), subnet(make_subnet()) {
+    this->platform = std::make_unique<store_standin>(this->subnet + "2");
+}
+
+sidecar_fleet::~sidecar_fleet() {
+    for (auto& instance : this->instances) {
+        if (UtestShell::getCurrent()->hasFailed() && instance->node) {
+            std::cout << "--- " << instance->name << "\n"
+                      << instance->node->log() << instance->node->output() << "\n";
+        }
+        instance->node.reset();
+    }
+    this->instances.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(this->directory, ignored);
+}
+
+mesh_instance& sidecar_fleet::add(std::string const& service, std::string const& version) {
+    auto instance = std::make_unique<mesh_instance>();
+    auto const number = first_host + static_cast<int>(this->instances.size());
+    instance->name = "instance-" + std::to_string(number);
+    instance->ip = this->subnet + std::to_string(number);
+    auto const address = [&](std::uint16_t port) {
+        return instance->ip + ":" + std::to_string(port);
+    };
+    json::object const settings{{"instance", instance->name},
+                                {"ip", instance->ip},
+                                {"availability_zone", "ariana"},
+                                {"service", service},
+                                {"target", address(target_port)},
+                                {"calls", address(calls_port)},
+                                {"peers", address(peers_port)},
+                                {"ready", address(ready_port)},
+                                {"heartbeats", address(heartbeats_port)},
+                                {"control_port", control_port},
+                                {"store", to_string(this->platform->address())}};
+    instance->settings_file = this->directory / (instance->name + ".json");
+    std::ofstream(instance->settings_file) << json::serialize(settings);
+    this->start(*instance);
+    instance->target = std::make_unique<mesh_target>(
+        socket_address{instance->ip, target_port}, socket_address{instance->ip, heartbeats_port},
+        "i-" + std::to_string(number), service, version);
+    this->instances.push_back(std::move(instance));
+    return *this->instances.back();
+}
+
+void sidecar_fleet::restart(mesh_instance& instance) {
+    this->start(instance);
+}
+
+void sidecar_fleet::start(mesh_instance& instance) {
+    instance.node.reset();
+    std::vector<std::string> const command{PERIDOT_SIDECAR_PROGRAM, "--settings",
+                                           instance.settings_file};
+    instance.node = std::make_unique<child_process>(instance.name, command, this->directory);
+}
+
+void sidecar_fleet::configure(std::uint64_t version, std::size_t more_routes) {
+    json::array resources;
+    resources.push_back(route_json("get", "/get/", "idempotent"));
+    resources.push_back(route_json("pay", "/pay/", "non_idempotent"));
+    for (std::size_t index = 0; index < more_routes; ++index) {
+        auto const name = "more" + std::to_string(index);
+        resources.push_back(route_json(name, "/" + name + "/", "idempotent"));
+    }
+    resources.push_back({{"TypeUrl", "Services"},
+                         {"Metadata", {{"Name", "deposits"}}},
+                         {"Spec", {{"HealthPath", "/health"}, {"MaxConnections", 100}}}});
+    json::object configuration;
+    configuration["Version"] = "r" + std::to_string(version);
+    configuration["Resources"] = std::move(resources);
+    this->platform->put("op", "config", json::serialize(configuration));
+}
+
+std::optional<http_response> sidecar_fleet::call(mesh_instance const& from, std::string const& path,
+                                                 std::string const& attempt,
+                                                 milliseconds deadline) {
+    http_request request;
+    request.method = path.starts_with("/pay/") ? "POST" : "GET";
+    request.target = path;
+    request.host = "mesh.example";
+    request.headers.set("X-Attempt-Id", attempt);
+    request.headers.set("X-Deadline-Ms", std::to_string(deadline.count()));
+    request.headers.set("X-Caller-Service", "forged");
+    http_caller caller;
+    return caller.call({from.ip, calls_port}, std::move(request));
+}
+
+bool sidecar_fleet::is_ready(mesh_instance const& instance) {
+    http_request question;
+    question.target = "/ready";
+    http_caller caller;
+    auto const answer = caller.call({instance.ip, ready_port}, question);
+    return answer && answer->status == 200;
+}
+
+} // namespace peridot::processes
--- /dev/null
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -0,0 +1,231 @@
+#include "processes/sidecar/sidecar_fleet.h"
+#include "processes/support/wait_until.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+using namespace peridot;
+using namespace peridot::processes;
+
+TEST_GROUP(sidecar) {
+    sidecar_fleet fleet;
+    std::atomic<int> attempts{0};
+
+    std::string next_attempt() {
+        return "attempt-" + std::to_string(++this->attempts);
+    }
+
+    unsigned status_of(mesh_instance const& from, std::string const& path) {
+        auto const answer = this->fleet.call(from, path, this->next_attempt());
+        return answer ? answer->status : 0;
+    }
+
+    bool becomes_served(mesh_instance const& from, std::string const& path) {
+        return wait_until([&] { return this->status_of(from, path) == 200; });
+    }
+
+    static std::size_t runs(std::vector<mesh_instance*> const& instances,
+                            std::string const& attempt) {
+        std::size_t sum = 0;
+        for (auto const* instance : instances) {
+            sum += instance->target->ran(attempt);
+        }
+        return sum;
+    }
+};
+
+// Guards against a request that runs nowhere or twice, and against a caller that names its own
+// service.
+TEST(sidecar, request_runs_once_at_a_target_of_the_service) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& first = fleet.add("deposits");
+    auto& second = fleet.add("deposits");
+    CHECK(becomes_served(caller, "/pay/1"));
+    for (int round = 0; round < 50; ++round) {
+        auto const attempt = next_attempt();
+        auto const answer = fleet.call(caller, "/pay/1", attempt);
+        CHECK(answer && answer->status == 200);
+        CHECK(answer->headers.value("X-Attempt-Id") == attempt);
+        CHECK(answer->headers.value("X-Server-Seal").starts_with("seal-of-i-"));
+        UNSIGNED_LONGS_EQUAL(1, runs({&first, &second}, attempt));
+    }
+    auto const& used = first.target->ran() > 0 ? first : second;
+    STRCMP_EQUAL("plants", used.target->calling_service().c_str());
+    UNSIGNED_LONGS_EQUAL(404, status_of(caller, "/unknown/1"));
+}
+
+// Guards against new work for a target after its node has acknowledged that it leaves, also when
+// the node is killed and starts again.
+TEST(sidecar, leaving_target_gets_nothing_even_after_its_node_was_killed) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& leaving = fleet.add("deposits");
+    CHECK(becomes_served(caller, "/pay/1"));
+    CHECK(leaving.target->deregister());
+    auto const before = leaving.target->ran();
+    UNSIGNED_LONGS_EQUAL(503, status_of(caller, "/pay/1"));
+    leaving.node->end();
+    fleet.restart(leaving);
+    CHECK(wait_until([&] { return fleet.is_ready(leaving); }));
+    for (int round = 0; round < 20; ++round) {
+        UNSIGNED_LONGS_EQUAL(503, status_of(caller, "/pay/1"));
+    }
+    UNSIGNED_LONGS_EQUAL(before, leaving.target->ran());
+}
+
+// Guards against requests whose route belongs to a configuration that is replaced meanwhile: on the
+// first calm day of the platform such requests ended the processes.
+TEST(sidecar, requests_outlive_the_configuration_they_began_with) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& target = fleet.add("deposits");
+    CHECK(becomes_served(caller, "/get/1"));
+    target.target->set_work(milliseconds(40));
+    std::atomic<bool> is_over{false};
+    std::atomic<int> unanswered{0};
+    std::vector<std::thread> callers;
+    for (int index = 0; index < 4; ++index) {
+        callers.emplace_back([&] {
+            while (!is_over) {
+                unanswered += status_of(caller, "/get/1") == 200 ? 0 : 1;
+            }
+        });
+    }
+    for (std::uint64_t version = 2; version <= 30; ++version) {
+        fleet.configure(version, version * 10);
+        std::this_thread::sleep_for(milliseconds(60));
+    }
+    CHECK(becomes_served(caller, "/more299/1"));
+    is_over = true;
+    for (auto& thread : callers) {
+        thread.join();
+    }
+    LONGS_EQUAL(0, unanswered);
+    CHECK_FALSE(caller.node->has_ended());
+    CHECK_FALSE(target.node->has_ended());
+}
+
+// Guards against requests that a planned stop cuts, on the node of the caller and of the target.
+TEST(sidecar, planned_stop_cuts_no_request) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& first = fleet.add("deposits");
+    auto& second = fleet.add("deposits");
+    CHECK(becomes_served(caller, "/get/1"));
+    CHECK(wait_until([&] { return becomes_served(caller, "/pay/1") && second.target->ran() > 0; }));
+    first.target->set_work(milliseconds(700));
+    second.target->set_work(milliseconds(700));
+    std::atomic<int> cut{0};
+    std::vector<std::thread> callers;
+    for (int index = 0; index < 8; ++index) {
+        callers.emplace_back([&] {
+            for (int round = 0; round < 3; ++round) {
+                auto const status = status_of(caller, "/pay/1");
+                cut += status == 200 || status == 503 ? 0 : 1;
+            }
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    first.node->send(SIGTERM);
+    caller.node->send(SIGTERM);
+    for (auto& thread : callers) {
+        thread.join();
+    }
+    LONGS_EQUAL(0, cut);
+    CHECK(first.node->exit_code() == 0);
+    CHECK(caller.node->exit_code() == 0);
+}
+
+// Guards against lookups that fail because one of the nodes was killed.
+TEST(sidecar, lookups_answer_while_a_node_is_killed) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& first = fleet.add("deposits");
+    auto& second = fleet.add("deposits");
+    CHECK(wait_until([&] {
+        return becomes_served(caller, "/get/1") && first.target->ran() > 0 &&
+               second.target->ran() > 0;
+    }));
+    std::atomic<int> failed{0};
+    std::thread steady([&] {
+        for (int round = 0; round < 200; ++round) {
+            failed += status_of(caller, "/get/1") == 200 ? 0 : 1;
+        }
+    });
+    std::this_thread::sleep_for(milliseconds(50));
+    first.node->end();
+    steady.join();
+    LONGS_EQUAL(0, failed);
+}
+
+// Guards against a node that starts while the store is out and knows neither configuration nor
+// members, although other nodes do.
+TEST(sidecar, restarted_node_learns_from_others_while_the_store_is_out) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& target = fleet.add("deposits");
+    CHECK(becomes_served(caller, "/get/1"));
+    fleet.store().set_out(true);
+    target.node->end();
+    fleet.restart(target);
+    // Requests of the other node bring its address; the target is known from its heartbeat.
+    CHECK(becomes_served(caller, "/get/1"));
+    CHECK(becomes_served(target, "/get/1"));
+}
+
+// Guards against a request that is passed on after its caller was told that it is over: the node
+// beside the target is frozen while the request waits for it.
+TEST(sidecar, frozen_node_passes_no_expired_request_on) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& target = fleet.add("deposits");
+    CHECK(becomes_served(caller, "/pay/1"));
+    target.node->send(SIGSTOP);
+    auto const attempt = next_attempt();
+    auto const answer = fleet.call(caller, "/pay/1", attempt, milliseconds(300));
+    CHECK(!answer || answer->status != 200);
+    std::this_thread::sleep_for(milliseconds(300));
+    target.node->send(SIGCONT);
+    CHECK(becomes_served(caller, "/pay/1"));
+    UNSIGNED_LONGS_EQUAL(0, target.target->ran(attempt));
+}
+
+// Guards against a bad version that stays, and against one that many callers meet.
+TEST(sidecar, bad_version_is_taken_back) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& good = fleet.add("deposits");
+    CHECK(becomes_served(caller, "/get/1"));
+    auto& bad = fleet.add("deposits", "v2");
+    bad.target->set_failing(true);
+    fleet.store().put("op", "rollout/deposits",
+                      R"({"Service":"deposits","To":"v2","DurationS":12})");
+    std::atomic<bool> is_over{false};
+    std::vector<std::thread> callers;
+    for (int index = 0; index < 3; ++index) {
+        callers.emplace_back([&] {
+            while (!is_over) {
+                status_of(caller, "/get/1");
+            }
+        });
+    }
+    bool const is_taken_back = wait_until([&] {
+        return fleet.store().value("status", "rollout/deposits").find("rolled_back") !=
+               std::string::npos;
+    });
+    auto const exposed = bad.target->ran();
+    std::this_thread::sleep_for(milliseconds(300));
+    is_over = true;
+    for (auto& thread : callers) {
+        thread.join();
+    }
+    CHECK(is_taken_back);
+    CHECK(bad.target->ran() > 0);
+    // The first steps give at most a twentieth of the requests.
+    CHECK(exposed * 10 <= good.target->ran());
+    CHECK(bad.target->ran() <= exposed + 8);
+}
--- /dev/null
+++ b/tests/processes/sidecar/store_standin.cpp
@@ -0,0 +1,184 @@
+#include "processes/sidecar/store_standin.h"
+
+#include "core/time.h"
+#include "http/http_server.h"
+#include "platform/base64.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <boost/url/parse.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace peridot::processes {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr milliseconds feed_poll{5};
+
+http_response answer_with(json::object const& body, unsigned status = 200) {
+    http_response answer;
+    answer.status = status;
+    answer.headers.set("Content-Type", "application/json");
+    answer.body = json::serialize(body);
+    return answer;
+}
+
+} // namespace
+
+class store_standin::implementation {
+public:
+    explicit implementation(std::string const& ip)
+        : server(context,
+                 [this](http_request request) { return this->respond(std::move(request)); }) {
+        auto const bound = this->server.listen({ip, 0});
+        this->listening = peridot::value(bound);
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~implementation() {
+        this->context.stop();
+        this->thread.join();
+    }
+    implementation(implementation const&) = delete;
+    implementation& operator=(implementation const&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
+    struct stored_row {
+        std::string value;
+        std::uint64_t revision = 0;
+    };
+    using row_key = std::pair<std::string, std::string>;
+
+    static json::object row_json(row_key const& key, stored_row const& row) {
+        return {{"Table", key.first},
+                {"part", ""},
+                {"Key", key.second},
+                {"Value", to_base64(row.value)},
+                {"SchemaVersion", row.revision}};
+    }
+
+    json::object page(std::string const& table, std::uint64_t after) const {
+        std::lock_guard const guard(this->lock);
+        json::array rows;
+        for (auto const& [key, row] : this->rows) {
+            if (key.first == table && row.revision > after) {
+                rows.push_back(row_json(key, row));
+            }
+        }
+        return {{"Rows", std::move(rows)},
+                {"HasMore", false},
+                {"SchemaVersion", this->revision},
+                {"NowS", this->now()}};
+    }
+
+    double now() const {
+        return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch())
+            .count();
+    }
+
+    http_response commit(std::string const& text) {
+        auto const body = json::parse(text).as_object();
+        std::lock_guard const guard(this->lock);
+        json::array current;
+        bool is_met = true;
+        for (auto const& item : body.at("ExpectedRev").as_array()) {
+            row_key const key{std::string(item.at("Table").as_string()),
+                              std::string(item.at("Key").as_string())};
+            auto const found = this->rows.find(key);
+            auto const held = found == this->rows.end() ? 0 : found->second.revision;
+            is_met &= held == item.at("SchemaVersion").to_number<std::uint64_t>();
+            if (found != this->rows.end()) {
+                current.push_back(row_json(key, found->second));
+            }
+        }
+        if (!is_met) {
+            return answer_with({{"Rows", std::move(current)},
+                                {"SchemaVersion", this->revision},
+                                {"NowS", this->now()}},
+                               412);
+        }
+        ++this->revision;
+        for (auto const& item : body.at("SetKeys").as_array()) {
+            row_key const key{std::string(item.at("Table").as_string()),
+                              std::string(item.at("Key").as_string())};
+            this->rows[key] = {from_base64(std::string(item.at("Value").as_string())).value_or(""),
+                               this->revision};
+        }
+        return answer_with({{"SchemaVersion", this->revision}, {"NowS", this->now()}});
+    }
+
+    asio::awaitable<http_response> respond(http_request request) {
+        if (this->is_out) {
+            http_response out;
+            out.status = 503;
+            co_return out;
+        }
+        if (request.target == "/rows-tx") {
+            co_return this->commit(request.body);
+        }
+        auto const parsed = boost::urls::parse_origin_form(request.target);
+        auto const parameters = parsed->params();
+        std::string const table((*parameters.find("Table")).value);
+        if (parsed->path() == "/rows-get") {
+            co_return answer_with(this->page(table, 0));
+        }
+        auto const after = std::stoull((*parameters.find("after")).value);
+        auto const wait = milliseconds(std::stol((*parameters.find("WaitMs")).value));
+        auto const until = std::chrono::steady_clock::now() + wait;
+        asio::steady_timer timer(this->context);
+        for (;;) {
+            auto found = this->page(table, after);
+            if (!found.at("Rows").as_array().empty() || std::chrono::steady_clock::now() >= until ||
+                this->is_out) {
+                co_return answer_with(found);
+            }
+            timer.expires_after(feed_poll);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
+    asio::io_context context{1};
+    http_server server;
+    socket_address listening;
+    std::thread thread;
+    mutable std::mutex lock;
+    std::map<row_key, stored_row> rows;
+    std::uint64_t revision = 0;
+    std::atomic<bool> is_out{false};
+};
+
+store_standin::store_standin(std::string const& ip) : self(std::make_unique<implementation>(ip)) {}
+
+store_standin::~store_standin() = default;
+
+socket_address store_standin::address() const {
+    return this->self->listening;
+}
+
+void store_standin::put(std::string const& table, std::string const& key,
+                        std::string const& value) {
+    std::lock_guard const guard(this->self->lock);
+    this->self->rows[{table, key}] = {value, ++this->self->revision};
+}
+
+std::string store_standin::value(std::string const& table, std::string const& key) const {
+    std::lock_guard const guard(this->self->lock);
+    auto const found = this->self->rows.find({table, key});
+    return found == this->self->rows.end() ? std::string() : found->second.value;
+}
+
+void store_standin::set_out(bool is_out) {
+    this->self->is_out = is_out;
+}
+
+} // namespace peridot::processes
--- /dev/null
+++ b/tests/processes/sidecar/store_standin.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/socket_address.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace peridot::processes {
+
+/// The platform's store in the test's own process, on a thread of its own: rows with revisions,
+/// conditional transactions and a feed that waits for changes.
+class store_standin {
+public:
+    explicit store_standin(std::string const& ip);
+    ~store_standin();
+    store_standin(store_standin const&) = delete;
+    store_standin& operator=(store_standin const&) = delete;
+    store_standin(store_standin&&) = delete;
+    store_standin& operator=(store_standin&&) = delete;
+
+    socket_address address() const;
+
+    /// Writes a row as the operator does.
+    void put(std::string const& table, std::string const& key, std::string const& value);
+    /// The row's value; empty if there is none.
+    std::string value(std::string const& table, std::string const& key) const;
+    /// While it is out, every call is answered with 503.
+    void set_out(bool is_out);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace peridot::processes
