--- a/libraries/core/log.cpp
+++ b/libraries/core/log.cpp
@@ -5,6 +5,12 @@
 
 #include <atomic>
 #include <chrono>
+#include <fcntl.h>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <unistd.h>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -34,11 +40,77 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+// Bounds the lines of each event by the second.
+class line_budget {
+public:
+    // Whether a line may be written, and how many were left out before it.
+    std::optional<std::uint64_t> take(std::string_view event) {
+        auto const now = std::chrono::steady_clock::now();
+        std::lock_guard const guard(this->lock);
+        auto& used = this->by_event[std::string(event)];
+        if (now - used.began >= std::chrono::seconds(1)) {
+            used.began = now;
+            used.lines = 0;
+        }
+        if (used.lines >= lines_per_second) {
+            ++used.left_out;
+            return std::nullopt;
+        }
+        ++used.lines;
+        return std::exchange(used.left_out, 0);
+    }
+
+private:
+    struct second_of_event {
+        std::chrono::steady_clock::time_point began;
+        std::uint32_t lines = 0;
+        std::uint64_t left_out = 0;
+    };
+    std::mutex lock;
+    std::map<std::string, second_of_event, std::less<>> by_event;
+};
+
+line_budget& budget() {
+    static line_budget shared;
+    return shared;
+}
+
+// Lines that standard output did not take.
+std::atomic<std::uint64_t> dropped_lines{0};
+
+// Hands lines to standard output without waiting for its reader.
+class nonblocking_output : public el::LogDispatchCallback {
+protected:
+    void handle(el::LogDispatchData const* data) noexcept override {
+        if (data->dispatchAction() != el::base::DispatchAction::NormalLog) {
+            return;
+        }
+        std::string const line(data->logMessage()->message() + "\n");
+        if (::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+            ++dropped_lines;
+        }
+    }
+};
+
+void write_to_standard_output() {
+    // The flag belongs to the open file, so an ordinary file or a terminal is not affected by it.
+    int const flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<nonblocking_output>("nonblocking_output");
+}
+
 } // namespace
 
-void configure(std::string_view program, level lowest) {
+void configure(std::string_view program, level lowest, output where) {
     program_name = program;
     lowest_level = lowest;
+    if (where == output::standard_output) {
+        write_to_standard_output();
+    }
     el::Configurations settings;
     settings.setToDefault();
     settings.setGlobally(el::ConfigurationType::Format, "%msg");
@@ -51,6 +123,10 @@
     if (severity < lowest_level.load(std::memory_order_relaxed)) {
         return;
     }
+    auto const left_out = budget().take(event);
+    if (!left_out) {
+        return;
+    }
     boost::json::object line;
     line["time_ms"] = milliseconds_since_epoch();
     line["level"] = level_name(severity);
@@ -59,6 +135,12 @@
     for (auto const& entry : fields) {
         std::visit([&](auto const& item) { line[entry.first] = item; }, entry.second);
     }
+    if (*left_out > 0) {
+        line["left_out"] = *left_out;
+    }
+    if (auto const dropped = dropped_lines.exchange(0); dropped > 0) {
+        line["dropped_lines"] = dropped;
+    }
     std::string const text = boost::json::serialize(line);
     switch (severity) {
     case level::debug:
--- a/libraries/node/admin_service.h
+++ b/libraries/node/admin_service.h
@@ -10,7 +10,7 @@
 class admission_controller;
 struct node_parts;
 
-/// The node's HTTP interface for operators and for the target beside it; docs/operations.md lists
+/// The node's HTTP interface for operators and for the target beside it; docs/OPERATIONS.md lists
 /// it.
 class admin_service {
 public:
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -6,9 +6,12 @@
 #include "mesh/target_selector.h"
 #include "mesh/version_share.h"
 #include "mesh/weighted_choice.h"
+#include "observability/counter.h"
+#include "observability/latency_histogram.h"
 #include "platform/messages.h"
 #include "routing/retry_budget.h"
 #include "sidecar/hop_message.h"
+#include "sidecar/sidecar_metrics.h"
 #include "sidecar/target_gate.h"
 
 #include <algorithm>
@@ -49,12 +52,13 @@
 public:
     implementation(entry_identity own, deployment_bounds const& figures,
                    rcu_cell<fleet_view> const& fleet, connection_pool& pool, target_gate& own_gate,
-                   newer_function notice)
+                   sidecar_metrics& measured, newer_function notice)
         : identity(std::move(own))
         , bounds(figures)
         , views(fleet)
         , connections(pool)
         , gate(own_gate)
+        , metrics(measured)
         , notice_newer(std::move(notice))
         , selector(this->identity.availability_zone) {}
 
@@ -77,6 +81,9 @@
         std::optional<http_response> failure;
         milliseconds retry_after = no_target_retry_after;
         result_code reason = result_code::request_no_endpoint;
+        /// Members that were asked, and the last of them.
+        unsigned offers = 0;
+        std::string last_instance;
     };
 
     asio::awaitable<http_response> respond(http_request request) {
@@ -92,6 +99,7 @@
         }
         auto const* route = view->configuration->find(request.host, request.target);
         if (route == nullptr) {
+            this->metrics.without_route.add();
             log::write(
                 log::level::info, "request_without_route",
                 {{"request", caller->attempt_id},
@@ -109,10 +117,31 @@
         routed.arrived = arrived;
         this->fill_call(routed, *caller);
         this->budget(routed.service).record_request();
-        co_return co_await this->place(std::move(routed));
+        auto answer = co_await this->place(routed);
+        this->metrics.request_duration.record(boot_clock::now() - arrived);
+        this->log_end(routed, answer);
+        co_return answer;
     }
 
 private:
+    // The one line that tells what became of a request, and by which configuration.
+    void log_end(routed_call const& routed, http_response const& answer) const {
+        auto const held =
+            std::chrono::duration_cast<milliseconds>(boot_clock::now() - routed.arrived);
+        bool const is_success = answer.status < first_failure_status;
+        log::write(log::level::info, is_success ? "request_answered" : "request_not_answered",
+                   {{"request", routed.call.attempt_id},
+                    {"route", routed.call.route},
+                    {"service", routed.service},
+                    {"instance", routed.last_instance},
+                    {"status", static_cast<std::int64_t>(answer.status)},
+                    {"reason", std::string(name(routed.reason))},
+                    {"offers", static_cast<std::int64_t>(routed.offers)},
+                    {"sends", static_cast<std::int64_t>(routed.sends)},
+                    {"held_ms", held.count()},
+                    {"configuration", static_cast<std::int64_t>(routed.configuration->version())}});
+    }
+
     void fill_call(routed_call& routed, caller_request const& caller) const {
         auto& call = routed.call;
         auto const left = std::min(caller.time_left.value_or(longest_wait), routed.route->timeout);
@@ -126,7 +155,7 @@
         call.target_at = routed.arrived + std::min(routed.route->target_latency, left);
     }
 
-    asio::awaitable<http_response> place(routed_call routed) {
+    asio::awaitable<http_response> place(routed_call& routed) {
         for (unsigned tried = 0; tried < longest_search; ++tried) {
             auto const now = boot_clock::now();
             if (now >= routed.call.deadline) {
@@ -137,6 +166,8 @@
                 break;
             }
             member const chosen = *choice->chosen;
+            ++routed.offers;
+            routed.last_instance = chosen.instance;
             routed.call.target_id = chosen.target.id;
             routed.call.finish_by = choice->limit == wait_limit::target_latency
                                         ? routed.call.target_at
@@ -248,6 +279,8 @@
                           is_failure ? target_observation::failed : target_observation::succeeded);
         }
         if (!is_failure) {
+            this->metrics.answered.add();
+            routed.reason = result_code::ok;
             return std::move(ran.answer);
         }
         log::write(log::level::info, "target_failed",
@@ -260,6 +293,7 @@
             routed.attempts.excluded.insert(chosen.instance);
             return std::nullopt;
         }
+        this->metrics.failed.add();
         return std::move(ran.answer);
     }
 
@@ -331,14 +365,17 @@
     }
 
     bool may_send_again(routed_call const& routed) {
-        return routed.call.kind == request_kind::idempotent &&
-               routed.sends < routed.route->attempts && boot_clock::now() < routed.call.deadline &&
-               this->budget(routed.service).try_take();
+        bool const may_send =
+            routed.call.kind == request_kind::idempotent && routed.sends < routed.route->attempts &&
+            boot_clock::now() < routed.call.deadline && this->budget(routed.service).try_take();
+        this->metrics.sent_again.add(may_send ? 1 : 0);
+        return may_send;
     }
 
     // The final answer when no member is left to try.
     http_response give_up(routed_call& routed) const {
         if (routed.failure) {
+            this->metrics.failed.add();
             return std::move(*routed.failure);
         }
         bool const is_expired = boot_clock::now() >= routed.call.deadline;
@@ -346,15 +383,7 @@
         if (routed.may_have_run) {
             status = is_expired ? status_codes::gateway_timeout : status_codes::bad_gateway;
         }
-        log::write(log::level::info, "request_given_up",
-                   {{"request", routed.call.attempt_id},
-                    {"route", routed.call.route},
-                    {"service", routed.service},
-                    {"status", static_cast<std::int64_t>(status)},
-                    {"reason", std::string(name(routed.reason))},
-                    {"held_ms",
-                     std::chrono::duration_cast<milliseconds>(boot_clock::now() - routed.arrived)
-                         .count()}});
+        (routed.may_have_run ? this->metrics.unknown : this->metrics.refused).add();
         auto const retry_after =
             routed.may_have_run ? std::nullopt : std::optional(routed.retry_after);
         return make_own_answer(status, routed.call.attempt_id, retry_after);
@@ -407,6 +436,7 @@
     rcu_cell<fleet_view> const& views;
     connection_pool& connections;
     target_gate& gate;
+    sidecar_metrics& metrics;
     newer_function notice_newer;
     target_selector selector;
     random_source random = make_random_source();
@@ -417,9 +447,9 @@
 
 call_entry::call_entry(entry_identity identity, deployment_bounds const& bounds,
                        rcu_cell<fleet_view> const& views, connection_pool& connections,
-                       target_gate& gate, newer_function notice_newer)
+                       target_gate& gate, sidecar_metrics& metrics, newer_function notice_newer)
     : self(std::make_unique<implementation>(std::move(identity), bounds, views, connections, gate,
-                                            std::move(notice_newer))) {}
+                                            metrics, std::move(notice_newer))) {}
 
 call_entry::~call_entry() = default;
 
--- a/libraries/sidecar/call_entry.h
+++ b/libraries/sidecar/call_entry.h
@@ -17,6 +17,7 @@
 
 class connection_pool;
 class target_gate;
+struct sidecar_metrics;
 
 /// Who a node is to the requests that begin on its instance.
 struct entry_identity {
@@ -41,7 +42,7 @@
 
     call_entry(entry_identity identity, deployment_bounds const& bounds,
                rcu_cell<fleet_view> const& views, connection_pool& connections, target_gate& gate,
-               newer_function notice_newer);
+               sidecar_metrics& metrics, newer_function notice_newer);
     ~call_entry();
     call_entry(call_entry const&) = delete;
     call_entry& operator=(call_entry const&) = delete;
--- /dev/null
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -0,0 +1,37 @@
+#include "sidecar/sidecar_metrics.h"
+
+#include "observability/metric_registry.h"
+
+namespace peridot {
+
+namespace {
+
+constexpr std::string_view requests_name = "peridot_requests_total";
+constexpr std::string_view requests_help =
+    "Requests that began on this instance, by their outcome.";
+
+} // namespace
+
+sidecar_metrics::sidecar_metrics(metric_registry& registry)
+    : answered(registry.register_counter(requests_name, requests_help, {{"outcome", "answered"}}))
+    , failed(registry.register_counter(requests_name, requests_help, {{"outcome", "failed"}}))
+    , refused(registry.register_counter(requests_name, requests_help, {{"outcome", "not_run"}}))
+    , unknown(registry.register_counter(requests_name, requests_help, {{"outcome", "unknown"}}))
+    , without_route(
+          registry.register_counter(requests_name, requests_help, {{"outcome", "no_route"}}))
+    , sent_again(registry.register_counter("peridot_requests_sent_again_total",
+                                           "Requests that reached a further target."))
+    , gate_refusals(registry.register_counter("peridot_gate_refusals_total",
+                                              "Requests that the gate of the target refused."))
+    , gate_in_use(registry.register_gauge("peridot_gate_slots_in_use",
+                                          "Requests that the target is at work on."))
+    , gate_waiting(registry.register_gauge("peridot_gate_waiting_requests",
+                                           "Requests that wait for a slot of the target."))
+    , configuration_version(registry.register_gauge("peridot_configuration_version",
+                                                    "Version of the configuration in force."))
+    , request_duration(registry.register_latency("peridot_request_duration_seconds",
+                                                 "Time from a request's arrival to its answer."))
+    , target_duration(registry.register_latency("peridot_target_duration_seconds",
+                                                "Time that the target took to answer.")) {}
+
+} // namespace peridot
--- /dev/null
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -0,0 +1,28 @@
+#pragma once
+
+namespace peridot {
+
+class counter;
+class gauge;
+class latency_histogram;
+class metric_registry;
+
+/// The metrics of a sidecar's request path, registered once.
+struct sidecar_metrics {
+    explicit sidecar_metrics(metric_registry& registry);
+
+    counter& answered;
+    counter& failed;
+    counter& refused;
+    counter& unknown;
+    counter& without_route;
+    counter& sent_again;
+    counter& gate_refusals;
+    gauge& gate_in_use;
+    gauge& gate_waiting;
+    gauge& configuration_version;
+    latency_histogram& request_duration;
+    latency_histogram& target_duration;
+};
+
+} // namespace peridot
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -5,6 +5,8 @@
 #include "http/connection_pool.h"
 #include "http/http_server.h"
 #include "mesh/mesh_configuration.h"
+#include "observability/gauge.h"
+#include "observability/metric_registry.h"
 #include "platform/bounds.h"
 #include "platform/messages.h"
 #include "platform/store_client.h"
@@ -14,6 +16,7 @@
 #include "sidecar/hop_message.h"
 #include "sidecar/rollout_evidence.h"
 #include "sidecar/rollout_steering.h"
+#include "sidecar/sidecar_metrics.h"
 #include "sidecar/target_announcements.h"
 #include "sidecar/target_gate.h"
 
@@ -48,6 +51,7 @@
 constexpr std::size_t store_answer_bytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t body_bytes = std::size_t{64} * 1024 * 1024;
 constexpr unsigned status_unavailable = 503;
+constexpr std::string_view metrics_path = "/metrics";
 
 http_limits caller_bounds() {
     http_limits limits;
@@ -78,9 +82,9 @@
         , control_connections(control_context, store_bounds())
         , store(control_connections, given.store)
         , evidence(views, given.service)
-        , gate(data_context, connections, given.target,
+        , gate(data_context, connections, given.target, metrics,
                [this](target_result const& seen) { this->evidence.record(seen); })
-        , entry(identity_of(given), bounds, views, connections, gate,
+        , entry(identity_of(given), bounds, views, connections, gate, metrics,
                 [this](std::string const& ip, std::uint64_t version) {
                     this->ask_for_newer(ip, version);
                 })
@@ -138,7 +142,7 @@
         log::write(log::level::info, "node_started",
                    {{"instance", this->settings.instance}, {"service", this->settings.service}});
         this->started = boot_clock::now();
-        this->fleet.set_change_handler([this] { this->announcements.rows_changed(); });
+        this->fleet.set_change_handler([this] { this->take_rows(); });
         this->fleet.start();
         this->steering.start();
         asio::signal_set stop(this->data_context, SIGTERM, SIGINT);
@@ -217,6 +221,12 @@
         if (request.method == "POST") {
             co_return this->steering.take_evidence(request);
         }
+        if (request.target == metrics_path) {
+            http_response answer;
+            answer.headers.set("Content-Type", "text/plain; version=0.0.4");
+            answer.body = this->registry.exposition();
+            co_return answer;
+        }
         co_return this->fleet.answer_rows(request);
     }
 
@@ -232,6 +242,16 @@
                                 asio::use_awaitable);
     }
 
+    // Runs on the control thread after each change of the rows that are held.
+    void take_rows() {
+        this->announcements.rows_changed();
+        auto const view = this->views.load();
+        if (view && view->configuration) {
+            this->metrics.configuration_version.set(
+                static_cast<std::int64_t>(view->configuration->version()));
+        }
+    }
+
     void ask_for_newer(std::string const& ip, std::uint64_t version) {
         if (version <= this->asked_version) {
             return;
@@ -310,6 +330,8 @@
     connection_pool connections;
     connection_pool control_connections;
     store_client store;
+    metric_registry registry;
+    sidecar_metrics metrics{registry};
     rollout_evidence evidence;
     target_gate gate;
     call_entry entry;
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -3,8 +3,12 @@
 #include "core/log.h"
 #include "http/connection_pool.h"
 #include "mesh/gate_queue.h"
+#include "observability/counter.h"
+#include "observability/gauge.h"
+#include "observability/latency_histogram.h"
 #include "platform/messages.h"
 #include "sidecar/recent_ids.h"
+#include "sidecar/sidecar_metrics.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -29,10 +33,11 @@
 class target_gate::implementation {
 public:
     implementation(asio::io_context& io, connection_pool& pool, socket_address target_address,
-                   result_function report_result)
+                   sidecar_metrics& measured, result_function report_result)
         : context(io)
         , connections(pool)
         , address(std::move(target_address))
+        , metrics(measured)
         , report(std::move(report_result)) {}
 
     // A request that waits for a slot, and the decision once there is one.
@@ -71,6 +76,14 @@
     };
 
     asio::awaitable<gate_answer> run(gate_call call, http_request request) {
+        auto answer = co_await this->admit(call, std::move(request));
+        if (auto const* refused = std::get_if<gate_refusal>(&answer)) {
+            this->log_refusal(call, *refused);
+        }
+        co_return answer;
+    }
+
+    asio::awaitable<gate_answer> admit(gate_call const& call, http_request request) {
         if (auto const refused = this->check(call)) {
             co_return *refused;
         }
@@ -115,7 +128,12 @@
         }
     }
 
-    gate_load load() const { return this->queue.load(boot_clock::now()); }
+    gate_load load() const {
+        auto const current = this->queue.load(boot_clock::now());
+        this->metrics.gate_in_use.set(current.in_use);
+        this->metrics.gate_waiting.set(current.waiting);
+        return current;
+    }
 
 private:
     std::optional<gate_refusal> check(gate_call const& call) const {
@@ -187,6 +205,7 @@
         auto outcome = co_await this->connections.exchange(
             this->address, std::move(request), to_steady(call.deadline + answer_margin), options);
         seen.latency = std::chrono::duration_cast<microseconds>(boot_clock::now() - started);
+        this->metrics.target_duration.record(seen.latency);
         if (auto const* failed = std::get_if<exchange_failure>(&outcome)) {
             if (failed->progress == exchange_progress::not_sent) {
                 co_return gate_refusal{result_code::request_connect_failed, {}};
@@ -217,6 +236,27 @@
         co_return gate_ran{std::move(answer)};
     }
 
+    void log_refusal(gate_call const& call, gate_refusal const& refused) {
+        this->metrics.gate_refusals.add();
+        auto const current = this->load();
+        auto const left = [now = boot_clock::now()](boot_time at) {
+            return std::chrono::duration_cast<milliseconds>(at - now).count();
+        };
+        log::write(log::level::info, "gate_refused",
+                   {{"request", call.attempt_id},
+                    {"route", call.route},
+                    {"sender", call.sender},
+                    {"reason", std::string(name(refused.reason))},
+                    {"in_use", static_cast<std::int64_t>(current.in_use)},
+                    {"waiting", static_cast<std::int64_t>(current.waiting)},
+                    {"slots", static_cast<std::int64_t>(current.slots)},
+                    {"expected_wait_ms", current.wait.count()},
+                    {"service_time_ms", this->queue.service_time(call.route).count()},
+                    {"finish_by_ms", left(call.finish_by)},
+                    {"deadline_ms", left(call.deadline)},
+                    {"retry_after_ms", refused.retry_after.count()}});
+    }
+
     void log_unknown(gate_call const& call, error const& reason) const {
         log::write(log::level::warning, "target_outcome_unknown",
                    {{"request", call.attempt_id},
@@ -228,6 +268,7 @@
     asio::io_context& context;
     connection_pool& connections;
     socket_address address;
+    sidecar_metrics& metrics;
     result_function report;
     std::optional<target_record> target;
     std::string withheld;
@@ -238,8 +279,8 @@
 };
 
 target_gate::target_gate(asio::io_context& context, connection_pool& connections,
-                         socket_address target, result_function report)
-    : self(std::make_unique<implementation>(context, connections, std::move(target),
+                         socket_address target, sidecar_metrics& metrics, result_function report)
+    : self(std::make_unique<implementation>(context, connections, std::move(target), metrics,
                                             std::move(report))) {}
 
 target_gate::~target_gate() = default;
--- a/libraries/sidecar/target_gate.h
+++ b/libraries/sidecar/target_gate.h
@@ -19,6 +19,7 @@
 namespace peridot {
 
 class connection_pool;
+struct sidecar_metrics;
 
 /// The only way to the target beside the node, for requests of this and of all other nodes.
 ///
@@ -32,7 +33,7 @@
     using result_function = std::function<void(target_result const&)>;
 
     target_gate(boost::asio::io_context& context, connection_pool& connections,
-                socket_address target, result_function report);
+                socket_address target, sidecar_metrics& metrics, result_function report);
     ~target_gate();
     target_gate(target_gate const&) = delete;
     target_gate& operator=(target_gate const&) = delete;
--- a/services/sidecar/main.cpp
+++ b/services/sidecar/main.cpp
@@ -36,7 +36,8 @@
         return 0;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    peridot::log::configure(peridot::value(settings).instance, peridot::value(settings).log_level);
+    peridot::log::configure(peridot::value(settings).instance, peridot::value(settings).log_level,
+                            peridot::log::output::standard_output);
     auto const node = peridot::sidecar_node::create(peridot::value(settings));
     if (!peridot::is_ok(node)) {
         std::cerr << describe(peridot::failure(node)) << "\n";
