--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -19,7 +19,6 @@
 #include <algorithm>
 #include <charconv>
 #include <map>
-#include <ranges>
 #include <set>
 
 namespace peridot {
@@ -255,11 +254,12 @@
     // The revision up to which this node holds every row: rows of the node's own writes and rows of
     // other nodes may be newer while older ones are still missing.
     std::uint64_t covered() const {
-        std::uint64_t by_store = 0;
-        if (this->read_up_to.size() == table_count) {
-            by_store = std::ranges::min(this->read_up_to | std::views::values);
+        if (this->read_up_to.size() < table_count) {
+            return this->covered_by_peers;
         }
-        return std::max(by_store, this->covered_by_peers);
+        auto const by_store = std::ranges::min_element(
+            this->read_up_to, {}, &std::map<std::string, std::uint64_t>::value_type::second);
+        return std::max(by_store->second, this->covered_by_peers);
     }
 
     // Both clocks are steady; answers that were long under way would set the clock back.
--- a/tests/mesh/gate_queue_test.cpp
+++ b/tests/mesh/gate_queue_test.cpp
@@ -189,7 +189,7 @@
                 longest_hold, std::chrono::duration_cast<milliseconds>(now - arrivals[refused]));
         }
     }
-    auto const capacity = 20 * 1000 / work.count() * slots;
+    auto const capacity = std::int64_t{slots} * (seconds(20) / work);
     CHECK_TEXT(answered > capacity * 9 / 10, "the slots were not used");
     CHECK_TEXT(in_time > capacity * 8 / 10, "too few answers were in time");
     CHECK_TEXT(longest_hold < deadline, "a request was held to its deadline and then refused");
