mesh: know the version in force from the roll-out before

A roll-out now records the version before it, and only requests of the new version's share may change over to the old one.

--- a/libraries/mesh/rollout.h
+++ b/libraries/mesh/rollout.h
@@ -12,6 +12,8 @@
 struct rollout {
     std::string service;
     std::string to;
+    /// The version in force before; empty if nothing is known of it.
+    std::string from;
     milliseconds duration{0};
     /// Revision of the operator's order; a later order for the service has a higher one.
     std::uint64_t order = 0;
--- a/libraries/mesh/version_share.cpp
+++ b/libraries/mesh/version_share.cpp
@@ -44,7 +44,8 @@
     if (current == nullptr) {
         return {{most_common(members, {}), 1.0}};
     }
-    std::string const old = most_common(members, current->to);
+    std::string const old =
+        current->from.empty() ? most_common(members, current->to) : current->from;
     switch (current->phase) {
     case rollout_phase::rolled_back:
         return {{old, 1.0}};
@@ -62,6 +63,25 @@
     return {{old, 1.0 - current->share}, {current->to, current->share}};
 }
 
+std::vector<std::string> versions_to_try(std::string const& chosen,
+                                         std::map<std::string, double> const& shares,
+                                         rollout const* current) {
+    std::vector<std::string> versions{chosen};
+    if (current == nullptr || chosen != current->to) {
+        return versions;
+    }
+    for (auto const& [version, share] : shares) {
+        if (version != chosen) {
+            versions.push_back(version);
+        }
+    }
+    return versions;
+}
+
+std::string const& version_after(rollout const& ended) {
+    return ended.phase == rollout_phase::complete ? ended.to : ended.from;
+}
+
 std::vector<member const*> members_in_use(std::vector<member> const& members,
                                           std::string const& version, rollout const* current) {
     std::vector<member const*> in_use;
--- a/libraries/mesh/version_share.h
+++ b/libraries/mesh/version_share.h
@@ -17,6 +17,17 @@
 std::map<std::string, double> version_shares(std::vector<member> const& members,
                                              rollout const* current);
 
+/// The versions that a request is tried at, the one that its share gives first.
+///
+/// A request that finds no room at the new version may go to the old one. The reverse would give
+/// the new version more than its share just when the old one is in trouble.
+std::vector<std::string> versions_to_try(std::string const& chosen,
+                                         std::map<std::string, double> const& shares,
+                                         rollout const* current);
+
+/// The version in force once a roll-out has ended.
+std::string const& version_after(rollout const& ended);
+
 /// The members of a version that take requests now.
 ///
 /// While a new version has a share only, as many of its targets take requests as it has of the
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -215,13 +215,14 @@
         if (!shares.contains(routed.version)) {
             routed.version = this->choose_version(routed.service, shares);
         }
-        auto choice = this->selector.choose(members_in_use(found->second, routed.version, current),
-                                            routed.attempts, now, this->random);
-        for (auto other = shares.begin(); !choice && other != shares.end(); ++other) {
-            choice = this->selector.choose(members_in_use(found->second, other->first, current),
-                                           routed.attempts, now, this->random);
+        for (auto const& version : versions_to_try(routed.version, shares, current)) {
+            auto choice = this->selector.choose(members_in_use(found->second, version, current),
+                                                routed.attempts, now, this->random);
+            if (choice) {
+                return choice;
+            }
         }
-        return choice;
+        return std::nullopt;
     }
 
     std::string choose_version(std::string const& service,
--- a/libraries/sidecar/rollout_json.cpp
+++ b/libraries/sidecar/rollout_json.cpp
@@ -25,6 +25,7 @@
 std::string encode_rollout(rollout const& current) {
     json::object const text{{"service", current.service},
                             {"to", current.to},
+                            {"from", current.from},
                             {"duration_ms", current.duration.count()},
                             {"order", current.order},
                             {"phase", phase_name(current.phase)},
@@ -46,6 +47,7 @@
         rollout current;
         current.service = object->at("service").as_string();
         current.to = object->at("to").as_string();
+        current.from = object->at("from").as_string();
         current.duration = milliseconds(object->at("duration_ms").to_number<std::int64_t>());
         current.order = object->at("order").to_number<std::uint64_t>();
         std::string_view const phase = object->at("phase").as_string();
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -4,6 +4,7 @@
 #include "http/connection_pool.h"
 #include "mesh/rollout_plan.h"
 #include "mesh/row_replica.h"
+#include "mesh/version_share.h"
 #include "moves/evidence_ledger.h"
 #include "moves/evidence_report.h"
 #include "moves/judge.h"
@@ -208,6 +209,9 @@
         rollout next = current;
         if (current.started.count() == 0) {
             next.started = *now;
+            if (next.from.empty()) {
+                next.from = this->version_in_force(current);
+            }
             next.share = plan_of(next).ramp.front().share;
             co_await this->write(next);
             co_return;
@@ -242,6 +246,17 @@
         co_await this->end_if_over(current, known, *now);
     }
 
+    std::string version_in_force(rollout const& current) const {
+        auto const view = this->views.load();
+        auto const found = view->members.find(current.service);
+        if (found == view->members.end()) {
+            return {};
+        }
+        rollout before = current;
+        before.phase = rollout_phase::rolled_back;
+        return version_shares(found->second, &before).begin()->first;
+    }
+
     asio::awaitable<void> end_if_over(rollout current, steered& known, milliseconds now) {
         if (current.share < 1) {
             co_return;
--- a/libraries/sidecar/view_builder.cpp
+++ b/libraries/sidecar/view_builder.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "mesh/mesh_configuration.h"
 #include "mesh/row_replica.h"
+#include "mesh/version_share.h"
 #include "platform/decoders.h"
 #include "sidecar/member_json.h"
 #include "sidecar/rollout_json.h"
@@ -77,6 +78,9 @@
                 auto const state = decode_rollout(state_row->value);
                 if (is_ok(state) && value(state).order == current.order) {
                     current = value(state);
+                } else if (is_ok(state)) {
+                    // The earlier roll-out tells which version is in force now.
+                    current.from = version_after(value(state));
                 }
             }
             rollouts[current.service] = current;
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -165,7 +165,7 @@
 TEST_GROUP(version_share) {
     std::vector<member> members{instance("a", "v1"), instance("b", "v1"), instance("c", "v2", 8),
                                 instance("d", "v2", 9)};
-    rollout current{"deposits", "v2", seconds(16), 1, rollout_phase::running, 0, 0.05, {}};
+    rollout current{"deposits", "v2", {}, seconds(16), 1, rollout_phase::running, 0, 0.05, {}};
 };
 
 // Guards against requests for targets of a new version before anybody has ordered it.
@@ -186,6 +186,28 @@
     CHECK_FALSE(version_shares(members, &current).contains("v1"));
 }
 
+// Guards against a second roll-out that takes the targets of the first one's old version, which
+// have stopped, for the version in force (zampa-mesh mix --seed 549134731849).
+TEST(version_share, version_in_force_outlives_the_rows_of_stopped_targets) {
+    members.push_back(instance("e", "v0", 1));
+    members.push_back(instance("f", "v0", 1));
+    members.push_back(instance("g", "v0", 1));
+    current.from = "v1";
+    DOUBLES_EQUAL(0.95, version_shares(members, &current).at("v1"), 1e-9);
+    CHECK_FALSE(version_shares(members, &current).contains("v0"));
+    current.phase = rollout_phase::rolled_back;
+    STRCMP_EQUAL("v1", version_after(current).c_str());
+    current.phase = rollout_phase::complete;
+    STRCMP_EQUAL("v2", version_after(current).c_str());
+}
+
+// Guards against a new version that gets all requests while the old one is in trouble.
+TEST(version_share, only_requests_for_the_new_version_may_change_over) {
+    auto const shares = version_shares(members, &current);
+    CHECK((versions_to_try("v2", shares, &current) == std::vector<std::string>{"v2", "v1"}));
+    CHECK((versions_to_try("v1", shares, &current) == std::vector<std::string>{"v1"}));
+}
+
 // Guards against a version that is bad only under load and shows it at a large share only.
 TEST(version_share, small_share_goes_to_few_targets) {
     LONGS_EQUAL(1, members_in_use(members, "v2", &current).size());
@@ -209,7 +231,8 @@
 }
 
 TEST_GROUP(rollout_plan) {
-    rollout current{"deposits", "v2", seconds(16), 3, rollout_phase::running, 0, 0, seconds(100)};
+    rollout current{"deposits", "v2", {},          seconds(16), 3, rollout_phase::running,
+                    0,          0,    seconds(100)};
 };
 
 // Guards against a plan that gives a bad version more than a tenth of the requests before its last
