sidecar: look at waiting requests again, and read changes together

A gate looked at its queue only when a request ended, and expected requests that had run for long to end at any moment: what waited behind hanging requests was held to its deadline. Waiting requests are looked at every 100 ms, and long runs lengthen the expected wait.

--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -27,6 +27,9 @@
 constexpr milliseconds longest_retry_after{2000};
 // A running request is expected to need at least this part of the mean time from now on.
 constexpr double least_remainder = 0.2;
+// A request that has run for longer than the mean is expected to run on for this part of its time:
+// a target that has slowed down, or hangs, shows in its running requests first.
+constexpr double remainder_of_elapsed = 0.5;
 
 milliseconds to_milliseconds(nanoseconds time) {
     return std::chrono::duration_cast<milliseconds>(time);
@@ -101,8 +104,9 @@
         slot_times times;
         for (auto const& [id, request] : this->running) {
             auto const mean = this->mean_time(request.route);
-            auto const least = part_of(mean, least_remainder);
-            times.push(now + std::max(mean - (now - request.started), least));
+            auto const elapsed = now - request.started;
+            times.push(now + std::max({mean - elapsed, part_of(mean, least_remainder),
+                                       part_of(elapsed, remainder_of_elapsed)}));
         }
         for (std::size_t index = this->running.size(); index < this->slots; ++index) {
             times.push(now);
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -30,9 +30,9 @@
 
 constexpr milliseconds read_timeout{1000};
 constexpr milliseconds commit_timeout{1500};
-constexpr milliseconds feed_wait{15'000};
+constexpr milliseconds feed_wait{25'000};
 // Changes in quick succession are read together.
-constexpr milliseconds feed_pause{120};
+constexpr milliseconds feed_pause{450};
 constexpr milliseconds first_backoff{100};
 constexpr milliseconds longest_backoff{1000};
 // Without an answer of the store for this long, other nodes are asked.
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds connect_timeout{500};
 // The target answers at its deadline by itself; its answer gets this long to arrive.
 constexpr milliseconds answer_margin{20};
+constexpr milliseconds queue_look_period{100};
 constexpr unsigned first_failure_status = 500;
 
 } // namespace
@@ -42,8 +43,7 @@
 
     // A request that waits for a slot, and the decision once there is one.
     struct waiter {
-        explicit waiter(asio::io_context& io)
-            : decided(io, asio::steady_timer::time_point::max()) {}
+        explicit waiter(asio::io_context& io) : decided(io) {}
         asio::steady_timer decided;
         std::optional<gate_decision> decision;
     };
@@ -54,11 +54,10 @@
         place(implementation& gate, std::uint64_t number) : gate(gate), number(number) {}
         ~place() {
             auto const now = boot_clock::now();
-            if (this->has_slot) {
-                this->gate.queue.finish(this->number, this->is_answered, now);
-            } else {
-                this->gate.queue.withdraw(this->number);
-            }
+            // A slot may have been given between the decision and the cancellation of the request,
+            // so both are given back whatever this request knows.
+            this->gate.queue.finish(this->number, this->is_answered, now);
+            this->gate.queue.withdraw(this->number);
             this->gate.waiters.erase(this->number);
             this->gate.dispatch(now);
         }
@@ -67,7 +66,6 @@
         place(place&&) = delete;
         place& operator=(place&&) = delete;
 
-        bool has_slot = false;
         bool is_answered = false;
 
     private:
@@ -98,7 +96,6 @@
         if (auto const* refused = std::get_if<gate_refusal>(&decision)) {
             co_return *refused;
         }
-        held.has_slot = true;
         // The process may have been suspended, or the target may have left, while the request
         // waited.
         if (auto const refused = this->check(call)) {
@@ -152,11 +149,17 @@
         return std::nullopt;
     }
 
+    // Looks at the queue from time to time: a target that leaves its requests without any answer
+    // frees no slot for long, and what waits meanwhile must not be held to the end of its time.
     asio::awaitable<gate_decision> wait(std::uint64_t number) {
         auto const waiting = std::make_shared<waiter>(this->context);
         this->waiters[number] = waiting;
         while (!waiting->decision) {
+            waiting->decided.expires_after(queue_look_period);
             co_await waiting->decided.async_wait(asio::as_tuple(asio::use_awaitable));
+            if (!waiting->decision) {
+                this->dispatch(boot_clock::now());
+            }
         }
         co_return *waiting->decision;
     }
--- a/tests/mesh/gate_queue_test.cpp
+++ b/tests/mesh/gate_queue_test.cpp
@@ -129,6 +129,16 @@
     CHECK(is_refused(queue.offer(request(3, "a", begin, seconds(1), seconds(2)), later)));
 }
 
+// Guards against requests that are held to the end of their time behind ones that hang.
+TEST(gate_queue, hanging_requests_lengthen_the_expected_wait) {
+    queue.set_slots(1);
+    teach("a", milliseconds(10), begin);
+    CHECK(is_started(queue.offer(request(1001, "a", begin, seconds(9), seconds(9)), begin)));
+    CHECK(is_waiting(queue.offer(request(1002, "a", begin, seconds(1), seconds(3)), begin)));
+    CHECK(queue.dispatch(begin + milliseconds(1000)).refused.empty());
+    LONGS_EQUAL(1, queue.dispatch(begin + milliseconds(2200)).refused.size());
+}
+
 // Guards against requests that stay behind when the target leaves.
 TEST(gate_queue, leaving_target_refuses_all_that_waits) {
     queue.set_slots(1);
--- a/tests/processes/sidecar/sidecar_test.cpp
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -255,3 +255,29 @@
     UNSIGNED_LONGS_EQUAL(200, long_status);
     CHECK(caller.node->exit_code() == 0);
 }
+
+// Guards against requests that are held to the end of their time at a target that leaves what it
+// runs without an answer.
+TEST(sidecar, waiting_request_is_refused_while_the_target_hangs) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& target = fleet.add("deposits");
+    CHECK(becomes_served(caller, "/get/1"));
+    target.target->set_work(milliseconds(6000));
+    std::vector<std::thread> hanging;
+    for (int index = 0; index < 8; ++index) {
+        hanging.emplace_back(
+            [&] { fleet.call(caller, "/get/1", next_attempt(), milliseconds(5000)); });
+    }
+    CHECK(wait_until([&] { return target.target->ran() > 8; }));
+    auto const begun = std::chrono::steady_clock::now();
+    auto const attempt = next_attempt();
+    auto const answer = fleet.call(caller, "/pay/1", attempt, milliseconds(3000));
+    auto const held = std::chrono::steady_clock::now() - begun;
+    CHECK(answer && answer->status == 503);
+    UNSIGNED_LONGS_EQUAL(0, target.target->ran(attempt));
+    CHECK(held < milliseconds(2500));
+    for (auto& thread : hanging) {
+        thread.join();
+    }
+}
