--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -189,6 +189,12 @@
     asio::awaitable<gate_answer> pass_on(gate_call const& call, http_request request, place& held) {
         auto const started = boot_clock::now();
         auto const current = this->queue.load(started);
+        log::write(log::level::debug, "request_passed_on",
+                   {{"request", call.attempt_id},
+                    {"route", call.route},
+                    {"target", call.target_id},
+                    {"in_use", static_cast<std::int64_t>(current.in_use)},
+                    {"waiting", static_cast<std::int64_t>(current.waiting)}});
         target_result seen;
         seen.route = call.route;
         seen.version = this->target->version;
