--- a/libraries/core/log.cpp
+++ b/libraries/core/log.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 std::atomic<level> lowest_level{level::info};
+std::atomic<bool> is_bounded{false};
 std::string program_name = "peridot"; // NOLINT: written once, before any thread starts.
 
 std::string_view level_name(level severity) {
@@ -109,6 +110,7 @@
     program_name = program;
     lowest_level = lowest;
     if (where == output::standard_output) {
+        is_bounded = true;
         write_to_standard_output();
     }
     el::Configurations settings;
@@ -123,7 +125,9 @@
     if (severity < lowest_level.load(std::memory_order_relaxed)) {
         return;
     }
-    auto const left_out = budget().take(event);
+    auto const left_out = is_bounded.load(std::memory_order_relaxed)
+                              ? budget().take(event)
+                              : std::optional(std::uint64_t{0});
     if (!left_out) {
         return;
     }
--- a/libraries/core/log.h
+++ b/libraries/core/log.h
@@ -19,8 +19,8 @@
 /// Where the lines go.
 enum class output : std::uint8_t { standard_error, standard_output };
 
-/// Lines of one event that are written in a second; further ones are counted, and the next line of
-/// the event that is written tells how many were left out.
+/// Lines of one event that go to standard output in a second; further ones are counted, and the
+/// next line of the event that is written tells how many were left out.
 inline constexpr std::uint32_t lines_per_second = 40;
 
 /// Sets up logging, one JSON object a line. Called once, from main. Lines to standard output never
--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -263,7 +263,7 @@
             co_return false;
         }
         stream.expires_never();
-        if (has_left(stream.socket())) {
+        if (used->reads_no_more || has_left(stream.socket())) {
             co_return false;
         }
         this->start_handler(used, parser.release());
@@ -320,6 +320,8 @@
             bool const is_last = used->pending.size() == 1;
             bool const stays_open = answer->keeps_alive && !answer->response->ends_connection &&
                                     !(self->is_stopping && is_last);
+            // Requests behind the last answer are not begun: their caller takes them as not read.
+            used->reads_no_more |= !stays_open;
             bool const is_written = co_await self->write(used->stream, *answer, stays_open);
             used->pop();
             if (!is_written) {
