--- a/libraries/sidecar/member_json.cpp
+++ b/libraries/sidecar/member_json.cpp
@@ -8,18 +8,6 @@
 
 namespace json = boost::json;
 
-std::string_view state_name(target_state state) {
-    switch (state) {
-    case target_state::ready:
-        return "ready";
-    case target_state::draining:
-        return "draining";
-    case target_state::gone:
-        return "gone";
-    }
-    return "gone";
-}
-
 target_state state_of(std::string_view text) {
     if (text == "ready") {
         return target_state::ready;
@@ -50,7 +38,7 @@
                             {"service", record.target.service},
                             {"version", record.target.version},
                             {"slots", record.target.slots},
-                            {"state", state_name(record.target.state)},
+                            {"state", name(record.target.state)},
                             {"started_ms", record.target.started_ms}};
     return json::serialize(text);
 }
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -44,18 +44,6 @@
     return answer;
 }
 
-std::string_view state_name(target_state state) {
-    switch (state) {
-    case target_state::ready:
-        return "ready";
-    case target_state::draining:
-        return "draining";
-    case target_state::gone:
-        return "gone";
-    }
-    return "gone";
-}
-
 } // namespace
 
 class target_announcements::implementation : public std::enable_shared_from_this<implementation> {
@@ -113,7 +101,7 @@
     static asio::awaitable<void> restore(std::shared_ptr<implementation> self) {
         log::write(log::level::info, "target_restored",
                    {{"target", self->tracker.current()->id},
-                    {"state", std::string(state_name(self->tracker.current()->state))}});
+                    {"state", std::string(name(self->tracker.current()->state))}});
         co_await self->apply(self->tracker.current());
         self->start_recording();
     }
@@ -137,7 +125,7 @@
         log::write(log::level::info, "target_changed",
                    {{"target", current.id},
                     {"version", current.version},
-                    {"state", std::string(state_name(current.state))},
+                    {"state", std::string(name(current.state))},
                     {"sequence", static_cast<std::int64_t>(current.sequence)}});
         co_await this->apply(this->tracker.current());
         this->start_recording();
