--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -19,11 +19,13 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <cerrno>
 #include <deque>
 #include <optional>
 #include <sys/socket.h>
 #include <unordered_set>
+#include <vector>
 
 namespace peridot {
 
@@ -206,7 +208,11 @@
             timer.expires_after(sweep_period);
             co_await timer.async_wait(to_tuple);
             auto const now = std::chrono::steady_clock::now();
-            for (auto* candidate : self->connections) {
+            // The longest idle one first, so that a client which sees one close finds the older
+            // closed.
+            std::vector<connection*> by_age(self->connections.begin(), self->connections.end());
+            std::ranges::sort(by_age, {}, &connection::last_used);
+            for (auto* candidate : by_age) {
                 if (candidate->is_idle() &&
                     now - candidate->last_used > self->limits.idle_timeout) {
                     candidate->close();
