sidecar: remove functions that nothing calls

Reading the change found has_target, is_loaded, forget_failures and the target's own load figures without a caller. The gate counts slots itself, and the node keeps its own flag. Behaviour is unchanged; the tests of mesh, adapter and processes_sidecar pass.

--- a/libraries/mesh/target_answer.h
+++ b/libraries/mesh/target_answer.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
-#include <string>
 
 namespace peridot {
 
@@ -16,11 +14,4 @@
     none,
 };
 
-/// The target's own figures on its load.
-struct target_load {
-    unsigned running = 0;
-    unsigned waiting = 0;
-    unsigned slots = 0;
-};
-
 } // namespace peridot
--- a/libraries/mesh/target_selector.cpp
+++ b/libraries/mesh/target_selector.cpp
@@ -162,11 +162,4 @@
     state.load_seen = now;
 }
 
-void target_selector::forget_failures(std::string const& instance) {
-    auto& state = this->self->states[instance];
-    state.pause = milliseconds(0);
-    state.paused_until = {};
-    state.failures = 0;
-}
-
 } // namespace peridot
--- a/libraries/mesh/target_selector.h
+++ b/libraries/mesh/target_selector.h
@@ -54,9 +54,6 @@
     void observe(std::string const& instance, target_observation seen, boot_time now);
     void observe_load(std::string const& instance, gate_load const& load, boot_time now);
 
-    /// Forgets the failures of a member whose record has changed.
-    void forget_failures(std::string const& instance);
-
 private:
     class implementation;
     std::unique_ptr<implementation> self;
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -406,10 +406,6 @@
     return this->self->replica;
 }
 
-bool fleet_sync::is_loaded() const {
-    return this->self->has_published && this->self->covered() > 0;
-}
-
 std::optional<milliseconds> fleet_sync::store_time() const {
     return this->self->store_time();
 }
--- a/libraries/sidecar/fleet_sync.h
+++ b/libraries/sidecar/fleet_sync.h
@@ -54,9 +54,6 @@
 
     row_replica const& rows() const;
 
-    /// Whether every table has been read from the store or from another node since the start.
-    bool is_loaded() const;
-
     /// The store's clock; no value before its first answer.
     std::optional<milliseconds> store_time() const;
 
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -93,8 +93,6 @@
         }
     }
 
-    bool has_target() const { return this->tracker.current().has_value(); }
-
     bool is_recorded() const { return !this->is_recording; }
 
 private:
@@ -220,10 +218,6 @@
     this->self->rows_changed();
 }
 
-bool target_announcements::has_target() const {
-    return this->self->has_target();
-}
-
 bool target_announcements::is_recorded() const {
     return this->self->is_recorded();
 }
--- a/libraries/sidecar/target_announcements.h
+++ b/libraries/sidecar/target_announcements.h
@@ -42,8 +42,6 @@
     /// Looks at the rows that are held: an earlier process of this node may have left its record.
     void rows_changed();
 
-    bool has_target() const;
-
     /// Whether the store holds what the target has announced. Safe from any thread.
     bool is_recorded() const;
 
