sidecar: keep a held answer's owner alive until it is given

Cause: a held answer about rows refers to fleet_sync, whose owner ends first when the process stops; the process ended with a damaged heap instead of status 0 (two process tests).

Change: the held answer shares fleet_sync. Two process tests guard the followers: one feed of each table remains for an availability zone, and a configuration arrives while the follower is frozen or gone.

--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -124,7 +124,9 @@
         co_return outcome;
     }
 
-    asio::awaitable<http_response> answer_rows(http_request request) {
+    // Holds the object: a held answer may outlive the owner of the server that asked for it.
+    static asio::awaitable<http_response> answer_rows(std::shared_ptr<implementation> self,
+                                                      http_request request) {
         auto const question = read_row_question(request);
         if (!question) {
             http_response unknown;
@@ -133,11 +135,11 @@
         }
         // Who does not wait for changes relies on another source.
         if (!question->is_comparison && question->hold.count() > 0) {
-            this->sources.observe_demand(std::chrono::steady_clock::now());
-            this->set_follows_store(true);
+            self->sources.observe_demand(std::chrono::steady_clock::now());
+            self->set_follows_store(true);
         }
-        co_await this->hold(*question);
-        co_return write_row_page(this->page_for(*question));
+        co_await self->hold(*question);
+        co_return write_row_page(self->page_for(*question));
     }
 
     static asio::awaitable<void> ask_late(std::shared_ptr<implementation> self, std::string ip,
@@ -487,7 +489,7 @@
 }
 
 asio::awaitable<http_response> fleet_sync::answer_rows(http_request request) {
-    return this->self->answer_rows(std::move(request));
+    return implementation::answer_rows(this->self, std::move(request));
 }
 
 } // namespace peridot
--- a/tests/processes/sidecar/sidecar_test.cpp
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -177,6 +177,52 @@
     CHECK(becomes_served(target, "/get/1"));
 }
 
+// Guards against calls to the store that grow with the number of nodes.
+TEST(sidecar, one_node_of_an_availability_zone_follows_the_store) {
+    fleet.configure(1);
+    auto& first = fleet.add("plants");
+    auto& second = fleet.add("deposits");
+    auto& third = fleet.add("deposits");
+    for (auto const* each : {&first, &second, &third}) {
+        CHECK(becomes_served(*each, "/get/1"));
+    }
+    // A feed of each table remains. The others end with their next change, so there has to be one.
+    std::uint64_t version = 1;
+    CHECK(wait_until([&] {
+        fleet.configure(++version, version);
+        std::this_thread::sleep_for(milliseconds(100));
+        fleet.store().put("peridot", "unrelated", std::to_string(version));
+        std::this_thread::sleep_for(milliseconds(600));
+        return fleet.store().waiting_feeds() == 2;
+    }));
+    fleet.configure(version + 1, 300);
+    for (auto const* each : {&first, &second, &third}) {
+        CHECK(becomes_served(*each, "/more299/1"));
+    }
+}
+
+// Guards against a configuration that does not reach the nodes behind a follower which is frozen,
+// and later has gone.
+TEST(sidecar, configuration_arrives_while_the_follower_is_frozen) {
+    fleet.configure(1);
+    auto& follower = fleet.add("plants");
+    auto& second = fleet.add("deposits");
+    auto& third = fleet.add("deposits");
+    for (auto const* each : {&follower, &second, &third}) {
+        CHECK(becomes_served(*each, "/get/1"));
+    }
+    follower.node->send(SIGSTOP);
+    fleet.configure(2, 2);
+    CHECK(becomes_served(second, "/more1/1"));
+    CHECK(becomes_served(third, "/more1/1"));
+    follower.node->send(SIGCONT);
+    CHECK(becomes_served(follower, "/more1/1"));
+    follower.node->end();
+    fleet.configure(3, 3);
+    CHECK(becomes_served(second, "/more2/1"));
+    CHECK(becomes_served(third, "/more2/1"));
+}
+
 // Guards against a request that is passed on after its caller was told that it is over: the node
 // beside the target is frozen while the request waits for it.
 TEST(sidecar, frozen_node_passes_no_expired_request_on) {
--- a/tests/processes/sidecar/store_standin.cpp
+++ b/tests/processes/sidecar/store_standin.cpp
@@ -53,6 +53,20 @@
     implementation(implementation&&) = delete;
     implementation& operator=(implementation&&) = delete;
 
+    // Counts a call to the feed for as long as it waits.
+    class waiting_call {
+    public:
+        explicit waiting_call(std::atomic<int>& count) : count(count) { ++this->count; }
+        ~waiting_call() { --this->count; }
+        waiting_call(waiting_call const&) = delete;
+        waiting_call& operator=(waiting_call const&) = delete;
+        waiting_call(waiting_call&&) = delete;
+        waiting_call& operator=(waiting_call&&) = delete;
+
+    private:
+        std::atomic<int>& count;
+    };
+
     struct stored_row {
         std::string value;
         std::uint64_t revision = 0;
@@ -136,6 +150,7 @@
         auto const wait = milliseconds(std::stol((*parameters.find("WaitMs")).value));
         auto const until = std::chrono::steady_clock::now() + wait;
         asio::steady_timer timer(this->context);
+        waiting_call const counted(this->waiting);
         for (;;) {
             auto found = this->page(table, after);
             if (!found.at("Rows").as_array().empty() || std::chrono::steady_clock::now() >= until ||
@@ -155,6 +170,7 @@
     std::map<row_key, stored_row> rows;
     std::uint64_t revision = 0;
     std::atomic<bool> is_out{false};
+    std::atomic<int> waiting{0};
 };
 
 store_standin::store_standin(std::string const& ip) : self(std::make_unique<implementation>(ip)) {}
@@ -177,6 +193,10 @@
     return found == this->self->rows.end() ? std::string() : found->second.value;
 }
 
+int store_standin::waiting_feeds() const {
+    return this->self->waiting;
+}
+
 void store_standin::set_out(bool is_out) {
     this->self->is_out = is_out;
 }
--- a/tests/processes/sidecar/store_standin.h
+++ b/tests/processes/sidecar/store_standin.h
@@ -25,6 +25,8 @@
     void put(std::string const& table, std::string const& key, std::string const& value);
     /// The row's value; empty if there is none.
     std::string value(std::string const& table, std::string const& key) const;
+    /// Calls to the feed that wait for a change.
+    int waiting_feeds() const;
     /// While it is out, every call is answered with 503.
     void set_out(bool is_out);
 
