sidecar: compress rows on their way between nodes

Change: pages of 1 KB and more are compressed with Zstandard, written once for all that wait, and have 700 ms for their way. Test: large_page_is_compressed.

--- /dev/null
+++ b/libraries/core/compression.cpp
@@ -0,0 +1,41 @@
+#include "core/compression.h"
+
+#include <zstd.h>
+
+namespace peridot {
+
+namespace {
+
+constexpr int fastest_level = 1;
+
+error malformed(std::string_view reason) {
+    return {result_code::platform_record_malformed,
+            "compressed bytes cannot be read: " + std::string(reason)};
+}
+
+} // namespace
+
+std::string compress(std::string_view plain) {
+    std::string compressed(ZSTD_compressBound(plain.size()), '\0');
+    auto const size = ZSTD_compress(compressed.data(), compressed.size(), plain.data(),
+                                    plain.size(), fastest_level);
+    // The buffer has the size that the library asks for, so this cannot fail.
+    compressed.resize(size);
+    return compressed;
+}
+
+result<std::string> decompress(std::string_view compressed, std::size_t most_bytes) {
+    auto const size = ZSTD_getFrameContentSize(compressed.data(), compressed.size());
+    if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN || size > most_bytes) {
+        return malformed("no frame of a permitted size");
+    }
+    std::string plain(size, '\0');
+    auto const written =
+        ZSTD_decompress(plain.data(), plain.size(), compressed.data(), compressed.size());
+    if (ZSTD_isError(written) != 0U || written != size) {
+        return malformed("the frame is damaged");
+    }
+    return plain;
+}
+
+} // namespace peridot
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -37,9 +37,9 @@
 constexpr milliseconds longest_other_pause{4000};
 // How long a question about rows is kept back. A node that freezes meanwhile delays the rows by
 // this and the margin, which must stay well below the time for a configuration to be in force.
-constexpr milliseconds question_hold{700};
+constexpr milliseconds question_hold{500};
 constexpr milliseconds comparison_hold{1000};
-constexpr milliseconds answer_margin{400};
+constexpr milliseconds answer_margin{700};
 constexpr milliseconds peer_connect_timeout{250};
 // Changes that arrive in quick succession are taken over together.
 constexpr milliseconds peer_pause{100};
@@ -139,7 +139,7 @@
             self->set_follows_store(true);
         }
         co_await self->hold(*question);
-        co_return write_row_page(self->page_for(*question));
+        co_return self->write_page(*question);
     }
 
     static asio::awaitable<void> ask_late(std::shared_ptr<implementation> self, std::string ip,
@@ -178,6 +178,12 @@
         asio::steady_timer timer;
     };
 
+    // The last answer about rows, and what it was written for.
+    struct written_page {
+        row_page page;
+        http_response answer;
+    };
+
     std::unique_ptr<table_feed> make_feed(std::string const& table) {
         table_feed::handlers receivers;
         receivers.replace = [this, table](std::vector<replica_row> rows, std::uint64_t revision) {
@@ -414,6 +420,16 @@
         });
     }
 
+    // Nodes that wait for the same change get the same page, which is written once.
+    http_response const& write_page(row_question const& question) {
+        auto page = this->page_for(question);
+        if (!this->written || this->written->page != page) {
+            auto answer = write_row_page(page);
+            this->written = {std::move(page), std::move(answer)};
+        }
+        return this->written->answer;
+    }
+
     row_page page_for(row_question const& question) const {
         row_page page;
         page.covered = this->covered();
@@ -446,6 +462,7 @@
     bool follows_store = true;
     asio::steady_timer role_changed;
     std::set<asio::steady_timer*> held_answers;
+    std::optional<written_page> written;
     bool has_published = false;
     std::optional<milliseconds> store_clock_offset;
     std::set<std::string> contacts;
--- a/libraries/sidecar/row_exchange_message.cpp
+++ b/libraries/sidecar/row_exchange_message.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/row_exchange_message.h"
 
+#include "core/compression.h"
+
 #include <boost/json.hpp>
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
@@ -19,6 +21,11 @@
 // A question that is kept back occupies a connection; no node asks for longer.
 constexpr milliseconds longest_hold{5000};
 constexpr unsigned status_ok = 200;
+constexpr std::string_view encoding_field = "Content-Encoding";
+constexpr std::string_view zstandard_encoding = "zstd";
+// A configuration of many routes takes long on a link of 10 Mbit/s; short pages gain nothing.
+constexpr std::size_t shortest_compressed = 1024;
+constexpr std::size_t longest_page = std::size_t{16} * 1024 * 1024;
 
 std::optional<std::uint64_t> number(std::string_view text) {
     std::uint64_t read = 0;
@@ -99,6 +106,10 @@
     http_response answer;
     answer.body = json::serialize(json::object{
         {"covered", std::move(covered)}, {"current", page.is_current}, {"rows", std::move(rows)}});
+    if (answer.body.size() >= shortest_compressed) {
+        answer.body = compress(answer.body);
+        answer.headers.set(std::string(encoding_field), std::string(zstandard_encoding));
+    }
     return answer;
 }
 
@@ -106,9 +117,15 @@
     if (answer.status != status_ok) {
         return malformed("status " + std::to_string(answer.status));
     }
+    auto const is_compressed = answer.headers.value(encoding_field) == zstandard_encoding;
+    auto const text =
+        is_compressed ? decompress(answer.body, longest_page) : result<std::string>(answer.body);
+    if (!is_ok(text)) {
+        return failure(text);
+    }
     row_page page;
     try {
-        auto const parsed = json::parse(answer.body);
+        auto const parsed = json::parse(value(text));
         auto const& object = parsed.as_object();
         for (auto const& [table, revision] : object.at("covered").as_object()) {
             page.covered[std::string(table)] = revision.to_number<std::uint64_t>();
--- a/libraries/sidecar/row_page.h
+++ b/libraries/sidecar/row_page.h
@@ -14,6 +14,8 @@
     /// Whether the answering node follows the store's feed.
     bool is_current = false;
     std::vector<replica_row> rows;
+
+    bool operator==(row_page const&) const = default;
 };
 
 } // namespace peridot
--- a/tests/sidecar/row_exchange_message_test.cpp
+++ b/tests/sidecar/row_exchange_message_test.cpp
@@ -34,6 +34,22 @@
     CHECK(value(read).rows == page.rows);
 }
 
+// Guards against a large configuration that fills the links of small instances on its way from
+// node to node (kcg-mesh-grown scale-2).
+TEST(row_exchange_message, large_page_is_compressed) {
+    auto page = make_page();
+    for (int route = 0; route < 800; ++route) {
+        page.rows.front().value +=
+            R"({"TypeUrl":"Routes","Spec":{"Host":"mesh.example","Prefix":"/r)" +
+            std::to_string(route * 7919) + "/\"}},";
+    }
+    auto answer = write_row_page(page);
+    CHECK(answer.body.size() * 4 < page.rows.front().value.size());
+    CHECK(value(read_row_page(answer)).rows == page.rows);
+    answer.body.resize(answer.body.size() / 2);
+    CHECK_FALSE(is_ok(read_row_page(answer)));
+}
+
 TEST(row_exchange_message, question_is_read_as_written) {
     row_question question{{{"op", 7}, {"peridot", 0}}, milliseconds(700), false};
     auto const read = read_row_question(write_row_question(question));
