mesh: forget a target's failures while it gets no requests

Change: what is known of failures counts for half after 8 s without a request. Test: failing_target_is_tried_again_after_a_while.

--- a/libraries/mesh/target_selector.cpp
+++ b/libraries/mesh/target_selector.cpp
@@ -1,6 +1,7 @@
 #include "mesh/target_selector.h"
 
 #include <algorithm>
+#include <cmath>
 #include <unordered_map>
 
 namespace peridot {
@@ -21,6 +22,9 @@
 constexpr double failure_weight = 0.15;
 // Up to this share of failures a member is as good as any other, so that single ones move no load.
 constexpr double tolerated_failures = 0.25;
+// What is known of failures counts for half after this time without a request. A member that is
+// left alone would never be seen to have recovered.
+constexpr std::chrono::duration<double> failure_half_life{8.0};
 // Spread of the random part that keeps nodes with equal knowledge from choosing alike.
 constexpr milliseconds jitter{5};
 
@@ -35,7 +39,14 @@
         boot_time paused_until;
         boot_time busy_until;
         milliseconds pause{0};
+        /// Share of failures among the answers, as of the time of the last one.
         double failures = 0;
+        boot_time failures_seen;
+
+        double failures_at(boot_time now) const {
+            std::chrono::duration<double> const age = now - this->failures_seen;
+            return this->failures * std::exp2(-age / failure_half_life);
+        }
     };
 
     explicit implementation(std::string zone) : availability_zone(std::move(zone)) {}
@@ -57,9 +68,10 @@
         if (candidate.availability_zone != this->availability_zone) {
             cost += distance_penalty;
         }
-        if (state.failures > tolerated_failures) {
+        auto const failures = state.failures_at(now);
+        if (failures > tolerated_failures) {
             cost += nanoseconds(static_cast<std::int64_t>(
-                (state.failures - tolerated_failures) *
+                (failures - tolerated_failures) *
                 static_cast<double>(nanoseconds(failure_penalty).count())));
         }
         // Of equal members the less used one.
@@ -128,8 +140,10 @@
 
 void target_selector::observe(std::string const& instance, target_observation seen, boot_time now) {
     auto& state = this->self->states[instance];
-    auto const learn = [&state](double failure) {
-        state.failures += failure_weight * (failure - state.failures);
+    auto const learn = [&state, now](double failure) {
+        auto const known = state.failures_at(now);
+        state.failures = known + failure_weight * (failure - known);
+        state.failures_seen = now;
     };
     switch (seen) {
     case target_observation::succeeded:
--- a/tests/mesh/target_selector_test.cpp
+++ b/tests/mesh/target_selector_test.cpp
@@ -58,6 +58,17 @@
     STRCMP_EQUAL("near", chosen(begin, nothing).c_str());
 }
 
+// Guards against a target that is never tried again: after all targets of a service had shed half
+// of their requests for 8 s, requests kept leaving their availability zone (kcg-mesh-grown
+// scale-1).
+TEST(target_selector, failing_target_is_tried_again_after_a_while) {
+    for (int round = 0; round < 20; ++round) {
+        selector.observe("near", target_observation::failed, begin);
+    }
+    CHECK(chosen(begin + seconds(5), nothing) != "near");
+    STRCMP_EQUAL("near", chosen(begin + seconds(20), nothing).c_str());
+}
+
 // Guards against a connection attempt for each request while an instance is gone, and against an
 // instance that is never tried again.
 TEST(target_selector, unreachable_member_rests_for_a_while) {
