sidecar: let another node write the rows of one that the store refuses

Change: a commit that fails goes to the node that was last seen to follow the store, which writes the rows under the same conditions.

--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -10,6 +10,7 @@
 #include "platform/decoders.h"
 #include "platform/store_client.h"
 #include "settings/sidecar_settings.h"
+#include "sidecar/commit_message.h"
 #include "sidecar/row_exchange_message.h"
 #include "sidecar/table_feed.h"
 #include "sidecar/view_builder.h"
@@ -47,10 +48,20 @@
 constexpr milliseconds search_period{500};
 // What another node holds already usually arrives by the own source within this time.
 constexpr milliseconds arrival_time{300};
+// After a failed write another node writes for this long, before the store is tried again.
+constexpr milliseconds store_avoidance{3000};
 constexpr std::size_t most_contacts = 256;
 // Of the questions to any node, this many in a row go to the own availability zone.
 constexpr unsigned near_questions = 3;
 
+std::vector<replica_row> to_replica(std::vector<store_row> const& rows) {
+    std::vector<replica_row> converted;
+    for (auto const& row : rows) {
+        converted.push_back({row.table, row.key, row.value, row.revision, row.is_removed});
+    }
+    return converted;
+}
+
 } // namespace
 
 class fleet_sync::implementation : public std::enable_shared_from_this<implementation> {
@@ -102,28 +113,30 @@
     }
 
     asio::awaitable<commit_outcome> commit(std::vector<replica_row> rows) {
-        store_transaction transaction;
-        for (auto const& row : rows) {
-            transaction.writes.push_back({row.table, row.key, row.value, row.revision, false});
-        }
-        auto outcome = co_await this->store.commit(
-            std::move(transaction), std::chrono::steady_clock::now() + commit_timeout);
+        auto outcome = co_await this->write(rows);
         if (auto const* done = std::get_if<commit_done>(&outcome)) {
-            this->note_store_time(done->store_time);
             for (auto& row : rows) {
                 row.revision = done->revision;
             }
             this->apply(std::move(rows));
         } else if (auto const* conflict = std::get_if<commit_conflict>(&outcome)) {
-            std::vector<replica_row> present;
-            for (auto const& row : conflict->rows) {
-                present.push_back({row.table, row.key, row.value, row.revision, row.is_removed});
-            }
-            this->apply(std::move(present));
+            this->apply(to_replica(conflict->rows));
         }
         co_return outcome;
     }
 
+    // Writes rows for another node, which the store does not serve.
+    static asio::awaitable<http_response> answer_commit(std::shared_ptr<implementation> self,
+                                                        http_request request) {
+        auto rows = read_commit_request(request);
+        if (!rows) {
+            http_response malformed;
+            malformed.status = 400;
+            co_return malformed;
+        }
+        co_return write_commit_outcome(co_await self->write_to_store(std::move(*rows)));
+    }
+
     // Holds the object: a held answer may outlive the owner of the server that asked for it.
     static asio::awaitable<http_response> answer_rows(std::shared_ptr<implementation> self,
                                                       http_request request) {
@@ -184,6 +197,55 @@
         http_response answer;
     };
 
+    // The condition on the revisions makes a second way safe, also after a lost answer.
+    asio::awaitable<commit_outcome> write(std::vector<replica_row> rows) {
+        if (!this->writer || std::chrono::steady_clock::now() >= this->store_avoided_until) {
+            auto outcome = co_await this->write_to_store(rows);
+            auto const* failed = std::get_if<error>(&outcome);
+            if (failed == nullptr || !this->writer) {
+                co_return outcome;
+            }
+            this->store_avoided_until = std::chrono::steady_clock::now() + store_avoidance;
+            log::write(log::level::info, "rows_written_by_other_node",
+                       {{"ip", this->writer->ip}, {"reason", describe(*failed)}});
+        }
+        co_return co_await this->write_through(*this->writer, std::move(rows));
+    }
+
+    asio::awaitable<commit_outcome> write_to_store(std::vector<replica_row> rows) {
+        store_transaction transaction;
+        for (auto& row : rows) {
+            transaction.writes.push_back({std::move(row.table), std::move(row.key),
+                                          std::move(row.value), row.revision, false});
+        }
+        auto outcome = co_await this->store.commit(
+            std::move(transaction), std::chrono::steady_clock::now() + commit_timeout);
+        if (auto const* done = std::get_if<commit_done>(&outcome)) {
+            this->note_store_time(done->store_time);
+        }
+        co_return outcome;
+    }
+
+    asio::awaitable<commit_outcome> write_through(peer_source peer, std::vector<replica_row> rows) {
+        exchange_options options;
+        options.connect_timeout = peer_connect_timeout;
+        socket_address const address{peer.ip, this->port};
+        auto const outcome = co_await this->connections.exchange(
+            address, write_commit_request(rows),
+            std::chrono::steady_clock::now() + commit_timeout + answer_margin, options);
+        auto const* answer = std::get_if<http_response>(&outcome);
+        if (answer == nullptr) {
+            this->writer.reset();
+            co_return error{result_code::platform_answer_lost,
+                            std::get<exchange_failure>(outcome).reason.message};
+        }
+        auto written = read_commit_outcome(*answer);
+        if (std::holds_alternative<error>(written)) {
+            this->writer.reset();
+        }
+        co_return written;
+    }
+
     std::unique_ptr<table_feed> make_feed(std::string const& table) {
         table_feed::handlers receivers;
         receivers.replace = [this, table](std::vector<replica_row> rows, std::uint64_t revision) {
@@ -311,6 +373,9 @@
         this->sources.observe(
             peer.instance,
             value(page).is_current ? source_observation::current : source_observation::stale, now);
+        if (value(page).is_current) {
+            this->writer = std::move(peer);
+        }
         co_return std::move(value(page));
     }
 
@@ -463,6 +528,9 @@
     asio::steady_timer role_changed;
     std::set<asio::steady_timer*> held_answers;
     std::optional<written_page> written;
+    /// The node that was last seen to follow the store; it writes for this one if need be.
+    std::optional<peer_source> writer;
+    steady_time store_avoided_until;
     bool has_published = false;
     std::optional<milliseconds> store_clock_offset;
     std::set<std::string> contacts;
@@ -505,6 +573,10 @@
     return this->self->store_time();
 }
 
+asio::awaitable<http_response> fleet_sync::answer_commit(http_request request) {
+    return implementation::answer_commit(this->self, std::move(request));
+}
+
 asio::awaitable<http_response> fleet_sync::answer_rows(http_request request) {
     return implementation::answer_rows(this->self, std::move(request));
 }
--- a/libraries/sidecar/fleet_sync.h
+++ b/libraries/sidecar/fleet_sync.h
@@ -62,6 +62,9 @@
     /// holds or the time that it allows is over.
     boost::asio::awaitable<http_response> answer_rows(http_request request);
 
+    /// Writes rows to the store for another node.
+    boost::asio::awaitable<http_response> answer_commit(http_request request);
+
 private:
     class implementation;
     std::shared_ptr<implementation> self;
--- a/libraries/sidecar/row_exchange_message.cpp
+++ b/libraries/sidecar/row_exchange_message.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/row_exchange_message.h"
 
 #include "core/compression.h"
+#include "sidecar/replica_row_json.h"
 
 #include <boost/json.hpp>
 #include <boost/url/parse.hpp>
@@ -40,17 +41,6 @@
     return {result_code::platform_record_malformed, "rows of another node: " + reason};
 }
 
-replica_row read_row(json::value const& item) {
-    auto const& object = item.as_object();
-    replica_row row;
-    row.table = object.at("table").as_string();
-    row.key = object.at("key").as_string();
-    row.value = object.at("value").as_string();
-    row.revision = object.at("revision").to_number<std::uint64_t>();
-    row.is_removed = object.at("removed").as_bool();
-    return row;
-}
-
 } // namespace
 
 http_request write_row_question(row_question const& question) {
@@ -95,17 +85,10 @@
     for (auto const& [table, revision] : page.covered) {
         covered[table] = revision;
     }
-    json::array rows;
-    for (auto const& row : page.rows) {
-        rows.push_back({{"table", row.table},
-                        {"key", row.key},
-                        {"value", row.value},
-                        {"revision", row.revision},
-                        {"removed", row.is_removed}});
-    }
     http_response answer;
-    answer.body = json::serialize(json::object{
-        {"covered", std::move(covered)}, {"current", page.is_current}, {"rows", std::move(rows)}});
+    answer.body = json::serialize(json::object{{"covered", std::move(covered)},
+                                               {"current", page.is_current},
+                                               {"rows", to_json(page.rows)}});
     if (answer.body.size() >= shortest_compressed) {
         answer.body = compress(answer.body);
         answer.headers.set(std::string(encoding_field), std::string(zstandard_encoding));
@@ -131,9 +114,7 @@
             page.covered[std::string(table)] = revision.to_number<std::uint64_t>();
         }
         page.is_current = object.at("current").as_bool();
-        for (auto const& item : object.at("rows").as_array()) {
-            page.rows.push_back(read_row(item));
-        }
+        page.rows = read_replica_rows(object.at("rows"));
     } catch (std::exception const& fault) {
         return malformed(fault.what());
     }
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -12,6 +12,7 @@
 #include "platform/store_client.h"
 #include "settings/sidecar_settings.h"
 #include "sidecar/call_entry.h"
+#include "sidecar/commit_message.h"
 #include "sidecar/fleet_sync.h"
 #include "sidecar/hop_message.h"
 #include "sidecar/rollout_evidence.h"
@@ -218,6 +219,9 @@
     }
 
     asio::awaitable<http_response> respond_to_exchange(http_request request) {
+        if (is_commit_request(request)) {
+            co_return co_await this->fleet.answer_commit(std::move(request));
+        }
         if (request.method == "POST") {
             co_return this->steering.take_evidence(request);
         }
--- a/tests/processes/sidecar/sidecar_fleet.cpp
+++ b/tests/processes/sidecar/sidecar_fleet.cpp
@@ -18,6 +18,8 @@
 
 constexpr int subnet_range = 200;
 constexpr int first_host = 10;
+// Nothing listens there.
+constexpr std::uint16_t closed_port = 9;
 constexpr std::uint16_t target_port = 18'301;
 constexpr std::uint16_t calls_port = 18'304;
 constexpr std::uint16_t peers_port = 18'300;
@@ -66,6 +68,15 @@
 }
 
 mesh_instance& sidecar_fleet::add(std::string const& service, std::string const& version) {
+    return this->add_with_store(service, version, to_string(this->platform->address()));
+}
+
+mesh_instance& sidecar_fleet::add_without_store(std::string const& service) {
+    return this->add_with_store(service, "v1", this->subnet + "2:" + std::to_string(closed_port));
+}
+
+mesh_instance& sidecar_fleet::add_with_store(std::string const& service, std::string const& version,
+                                             std::string const& store) {
     auto instance = std::make_unique<mesh_instance>();
     auto const number = first_host + static_cast<int>(this->instances.size());
     instance->name = "instance-" + std::to_string(number);
@@ -83,7 +94,8 @@
                                 {"ready", address(ready_port)},
                                 {"heartbeats", address(heartbeats_port)},
                                 {"control_port", control_port},
-                                {"store", to_string(this->platform->address())}};
+                                {"seeds", this->control_addresses()},
+                                {"store", store}};
     instance->settings_file = this->directory / (instance->name + ".json");
     std::ofstream(instance->settings_file) << json::serialize(settings);
     this->start(*instance);
@@ -94,6 +106,14 @@
     return *this->instances.back();
 }
 
+json::array sidecar_fleet::control_addresses() const {
+    json::array addresses;
+    for (auto const& instance : this->instances) {
+        addresses.emplace_back(instance->ip + ":" + std::to_string(control_port));
+    }
+    return addresses;
+}
+
 void sidecar_fleet::restart(mesh_instance& instance) {
     this->start(instance);
 }
--- a/tests/processes/sidecar/sidecar_fleet.h
+++ b/tests/processes/sidecar/sidecar_fleet.h
@@ -6,6 +6,8 @@
 #include "processes/sidecar/store_standin.h"
 #include "processes/support/child_process.h"
 
+#include <boost/json/array.hpp>
+
 #include <filesystem>
 #include <memory>
 #include <optional>
@@ -37,6 +39,8 @@
 
     /// Starts an instance; it need not be ready when the call returns.
     mesh_instance& add(std::string const& service, std::string const& version = "v1");
+    /// Starts an instance whose node cannot reach the store, only the instances before it.
+    mesh_instance& add_without_store(std::string const& service);
     /// Starts the node of the instance again, beside the same target.
     void restart(mesh_instance& instance);
 
@@ -52,6 +56,9 @@
     bool is_ready(mesh_instance const& instance);
 
 private:
+    mesh_instance& add_with_store(std::string const& service, std::string const& version,
+                                  std::string const& store);
+    boost::json::array control_addresses() const;
     void start(mesh_instance& instance);
 
     std::filesystem::path directory;
--- a/tests/processes/sidecar/sidecar_test.cpp
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -201,6 +201,18 @@
     }
 }
 
+// Guards against a target that nobody uses because the store does not serve its node, which cannot
+// record it (kcg-mesh scale-2: a thousand requests refused as misdirected).
+TEST(sidecar, other_node_records_a_target_whose_node_has_lost_the_store) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    CHECK(wait_until([&] { return status_of(caller, "/get/1") == 503; }));
+    auto& target = fleet.add_without_store("deposits");
+    CHECK(becomes_served(caller, "/get/1"));
+    CHECK(target.target->ran() > 0);
+    CHECK(fleet.store().value("peridot", "member/" + target.name).find("i-") != std::string::npos);
+}
+
 // Guards against a configuration that does not reach the nodes behind a follower which is frozen,
 // and later has gone.
 TEST(sidecar, configuration_arrives_while_the_follower_is_frozen) {
