sidecar: find a node that has the store at once, and keep serving others

Cause: after a power loss, nodes that the store refused took 1.5 s to ask others for rows and up to 3.1 s more to have their targets recorded: the first of an availability zone kept asking at random, and the backoff of a failed write ran on although rows had arrived. A node that was stopped while its target lived refused other nodes at once, so the target stood idle for more than two seconds.

Change: a node whose store is out relies on the next one of its zone; one without any rows asks each 100 ms and needs no patience with the store; arriving rows end the backoff of a write; a stopping node serves others until callers have been told. A failure of the store counts for 5 s. Test: node_without_the_store_relies_on_the_next_one.

--- a/libraries/mesh/row_source_selector.cpp
+++ b/libraries/mesh/row_source_selector.cpp
@@ -100,17 +100,21 @@
     this->self->demanded_until = now + demand_time;
 }
 
-row_source row_source_selector::choose(steady_time now) const {
+row_source row_source_selector::choose(steady_time now, bool is_store_out) const {
     auto const& own = *this->self;
     auto const zone = own.by_zone.find(own.availability_zone);
-    if (own.demanded_until > now || zone == own.by_zone.end()) {
+    if ((own.demanded_until > now && !is_store_out) || zone == own.by_zone.end()) {
         return store_source{};
     }
     std::size_t passed_over = 0;
     for (auto const& [node, share] : zone->second) {
-        if (node.instance == own.instance || passed_over == most_passed_over) {
+        bool const is_own = node.instance == own.instance;
+        if ((is_own && !is_store_out) || passed_over == most_passed_over) {
             break;
         }
+        if (is_own) {
+            continue;
+        }
         if (!own.is_paused(node.instance, now)) {
             return node;
         }
--- a/libraries/mesh/row_source_selector.h
+++ b/libraries/mesh/row_source_selector.h
@@ -37,7 +37,8 @@
     /// Another node relies on this one, which follows the feed for a while from now on.
     void observe_demand(steady_time now);
 
-    row_source choose(steady_time now) const;
+    /// A node that the store does not serve relies on the others as long as it finds one.
+    row_source choose(steady_time now, bool is_store_out) const;
 
     /// A node of another availability zone to compare revisions with. A follower whose way to the
     /// store has gone silent notices only by this that it is behind.
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -46,6 +46,8 @@
 constexpr milliseconds peer_pause{100};
 // Pause between questions to any node while no node is known that follows the feed.
 constexpr milliseconds search_period{500};
+// A node that knows nothing yet serves nobody, so it asks more often.
+constexpr milliseconds first_search_period{100};
 // What another node holds already usually arrives by the own source within this time.
 constexpr milliseconds arrival_time{300};
 // After a failed write another node writes for this long, before the store is tried again.
@@ -275,7 +277,7 @@
     static asio::awaitable<void> learn(std::shared_ptr<implementation> self) {
         for (;;) {
             auto const now = std::chrono::steady_clock::now();
-            auto const source = self->sources.choose(now);
+            auto const source = self->sources.choose(now, self->is_store_out());
             auto const* peer = std::get_if<peer_source>(&source);
             self->set_follows_store(peer == nullptr);
             if (peer != nullptr) {
@@ -283,7 +285,7 @@
                 continue;
             }
             if (self->is_store_out()) {
-                co_await self->pause(search_period);
+                co_await self->pause(self->has_published ? search_period : first_search_period);
                 co_await self->ask_any();
                 continue;
             }
@@ -417,7 +419,7 @@
             for (auto const& [service, members] : view->members) {
                 for (auto const& known : members) {
                     if (known.availability_zone == this->availability_zone &&
-                        known.ip != this->own_ip) {
+                        known.target.state != target_state::gone && known.ip != this->own_ip) {
                         near.push_back(known.ip);
                     }
                 }
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -41,6 +41,7 @@
 namespace asio = boost::asio;
 
 // Callers are told within two questions, a second apart, that a stopping node takes no new work.
+// The target beside the node is as good as before, so until then other nodes are served too.
 constexpr milliseconds stop_notice{2300};
 constexpr milliseconds stop_poll{20};
 // Left of the time to stop for closing connections.
@@ -164,7 +165,7 @@
 private:
     // A request that is taken late in a planned stop could not be finished, so it is sent away.
     asio::awaitable<http_response> respond_to_caller(http_request request) {
-        if (this->refuses_callers) {
+        if (this->refuses_requests) {
             auto const caller = read_caller_request(request);
             auto answer = make_own_answer(status_unavailable, caller ? caller->attempt_id : "",
                                           stopping_retry_after);
@@ -186,7 +187,7 @@
             asio::post(this->control_context,
                        [this, ip = call->sender] { this->fleet.add_contact(ip); });
         }
-        if (this->is_stopping) {
+        if (this->refuses_requests) {
             co_return write_hop_answer(gate_refusal{result_code::request_draining, {}},
                                        this->hop_state_now());
         }
@@ -307,8 +308,8 @@
         while (boot_clock::now() < latest) {
             bool const is_idle =
                 this->calls.requests_in_flight() == 0 && this->peers.requests_in_flight() == 0;
-            this->refuses_callers = boot_clock::now() - begun >= stop_notice;
-            if (is_idle && this->refuses_callers && this->announcements.is_recorded()) {
+            this->refuses_requests = boot_clock::now() - begun >= stop_notice;
+            if (is_idle && this->refuses_requests && this->announcements.is_recorded()) {
                 break;
             }
             timer.expires_after(stop_poll);
@@ -359,7 +360,7 @@
     std::uint64_t asked_version = 0;
     bool has_target = false;
     bool is_stopping = false;
-    bool refuses_callers = false;
+    bool refuses_requests = false;
 };
 
 sidecar_node::sidecar_node(std::unique_ptr<implementation> implementation)
--- a/libraries/sidecar/table_feed.cpp
+++ b/libraries/sidecar/table_feed.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds first_backoff{100};
 // Without an answer of the store for this long, it counts as out.
 constexpr milliseconds store_patience{700};
+// A failure says nothing about the store after this long.
+constexpr milliseconds failure_validity{5000};
 
 std::vector<replica_row> to_replica(std::vector<store_row> rows) {
     std::vector<replica_row> converted;
@@ -91,6 +93,7 @@
     }
 
     void note_failure(error const& reason) {
+        this->failed_at = std::chrono::steady_clock::now();
         if (!this->failing_since) {
             this->failing_since = std::chrono::steady_clock::now();
             log::write(log::level::warning, "store_lost",
@@ -125,6 +128,7 @@
     bool must_read = true;
     std::uint64_t revision = 0;
     std::optional<steady_time> failing_since;
+    steady_time failed_at;
     milliseconds backoff{0};
     random_source random = make_random_source();
 };
@@ -150,7 +154,11 @@
 }
 
 bool table_feed::is_out(steady_time now) const {
-    return this->self->failing_since && now - *this->self->failing_since > store_patience;
+    auto const& own = *this->self;
+    // Without any rows there is nothing to be patient with.
+    auto const patience = own.revision == 0 ? milliseconds(0) : store_patience;
+    return own.failing_since && now - *own.failing_since >= patience &&
+           now - own.failed_at < failure_validity;
 }
 
 } // namespace peridot
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -54,7 +54,8 @@
         , settings(own)
         , fleet(sync)
         , apply(std::move(apply_target))
-        , tracker(to_string(own.target), own.service) {}
+        , tracker(to_string(own.target), own.service)
+        , retry(io) {}
 
     asio::awaitable<http_response> respond(http_request request) {
         auto const call = read_target_call(request);
@@ -79,6 +80,8 @@
     }
 
     void rows_changed() {
+        // Whatever brought the rows may take the record as well.
+        this->retry.cancel();
         auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
         if (row == nullptr || this->tracker.current()) {
             return;
@@ -169,7 +172,7 @@
                 self->take_conflict(*conflict, text);
             }
             backoff = std::clamp(backoff * 2, first_backoff, longest_backoff);
-            co_await self->pause(backoff);
+            co_await self->wait_to_retry(backoff);
         }
         self->is_recording = false;
     }
@@ -190,6 +193,13 @@
         }
     }
 
+    // Waits for the backoff, or until rows arrive.
+    asio::awaitable<void> wait_to_retry(milliseconds backoff) {
+        co_await this->pause(first_backoff);
+        this->retry.expires_after(backoff - first_backoff);
+        co_await this->retry.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+
     asio::awaitable<void> pause(milliseconds time) {
         asio::steady_timer timer(this->context, time);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -201,6 +211,7 @@
     apply_function apply;
     target_tracker tracker;
     std::string recorded;
+    asio::steady_timer retry;
     std::atomic<bool> is_recording{false};
 };
 
--- a/tests/mesh/row_source_selector_test.cpp
+++ b/tests/mesh/row_source_selector_test.cpp
@@ -34,8 +34,9 @@
 }
 
 // The node that is asked; "store" for the store's own feed.
-std::string source_of(row_source_selector const& selector, steady_time now) {
-    auto const chosen = selector.choose(now);
+std::string source_of(row_source_selector const& selector, steady_time now,
+                      bool is_store_out = false) {
+    auto const chosen = selector.choose(now, is_store_out);
     auto const* peer = std::get_if<peer_source>(&chosen);
     return peer == nullptr ? "store" : peer->instance;
 }
@@ -96,6 +97,20 @@
     STRCMP_EQUAL("a-4", source_of(selector, begin + milliseconds(6000)).c_str());
 }
 
+// Guards against the first node of an availability zone that asks at random because the store does
+// not serve it, although the next one is served (kcg-mesh scale-2).
+TEST(row_source_selector, node_without_the_store_relies_on_the_next_one) {
+    row_source_selector first("a-4", "a");
+    first.set_members(view);
+    STRCMP_EQUAL("a-0", source_of(first, begin, true).c_str());
+    first.observe_demand(begin);
+    STRCMP_EQUAL("a-0", source_of(first, begin, true).c_str());
+    for (char const* name : {"a-0", "a-1", "a-2"}) {
+        first.observe(name, source_observation::stale, begin);
+    }
+    STRCMP_EQUAL("store", source_of(first, begin, true).c_str());
+}
+
 // Guards against a node that knows no other one and waits for rows that nobody sends.
 TEST(row_source_selector, node_without_others_follows_the_store) {
     row_source_selector alone("x-1", "x");
