mesh: tell attempts of returning callers from fresh requests

Change: caller_deadlines learns how long the callers of a route allow in all; what an attempt has left below 0.8 of it is taken off its target time.

--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "http/connection_pool.h"
+#include "mesh/caller_deadlines.h"
 #include "mesh/mesh_configuration.h"
 #include "mesh/target_selector.h"
 #include "mesh/version_share.h"
@@ -144,8 +145,12 @@
                     {"configuration", static_cast<std::int64_t>(routed.configuration->version())}});
     }
 
-    void fill_call(routed_call& routed, caller_request const& caller) const {
+    void fill_call(routed_call& routed, caller_request const& caller) {
         auto& call = routed.call;
+        auto const waited =
+            caller.time_left
+                ? this->deadlines.observe(routed.route->name, *caller.time_left, routed.arrived)
+                : milliseconds(0);
         auto const left = std::min(caller.time_left.value_or(longest_wait), routed.route->timeout);
         call.attempt_id = caller.attempt_id;
         call.route = routed.route->name;
@@ -154,7 +159,8 @@
         call.calling_service = this->identity.service;
         call.sender = this->identity.ip;
         call.deadline = routed.arrived + left;
-        call.target_at = routed.arrived + std::min(routed.route->target_latency, left);
+        call.target_at = routed.arrived +
+                         std::clamp(routed.route->target_latency - waited, milliseconds(0), left);
     }
 
     asio::awaitable<http_response> place_until_end(routed_call& routed) {
@@ -454,6 +460,7 @@
     sidecar_metrics& metrics;
     newer_function notice_newer;
     target_selector selector;
+    caller_deadlines deadlines;
     random_source random = make_random_source();
     std::unordered_map<std::string, weighted_choice> service_choices;
     std::unordered_map<std::string, weighted_choice> version_choices;
