sidecar: put the operator's limits of callers in force

Cause: the limits of the configuration were decoded, but fixed values were in force, so a change of the idle time had no effect and the time for a header had no bound of its own.

Change: a server takes new bounds while it runs; reading a header is timed apart from its body. Tests: slow_header_ends_its_connection, changed_limits_hold_for_open_connections.

--- a/libraries/http/http_limits.h
+++ b/libraries/http/http_limits.h
@@ -13,7 +13,9 @@
     std::size_t connections = 4096;
     /// Requests of one connection that run at the same time.
     std::size_t pipelined = 16;
-    /// Time for a whole request from its first byte.
+    /// Time for the header of a request from its first byte.
+    milliseconds header_timeout{60'000};
+    /// Time for the rest of a request from the end of its header.
     milliseconds request_timeout{60'000};
     /// A server closes a connection that stays idle this long. Clients keep theirs for a shorter
     /// time, so that a request seldom meets a connection that is being closed.
--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -127,6 +127,8 @@
         }
     }
 
+    void set_limits(http_limits const& bounds) { this->limits = bounds; }
+
     std::size_t requests_in_flight() const { return this->in_flight; }
 
 private:
@@ -264,9 +266,7 @@
         parser.body_limit(this->limits.body_bytes);
         parser.header_limit(this->limits.header_bytes);
         used->is_receiving = true;
-        stream.expires_after(this->limits.request_timeout);
-        auto const [unreadable, size] =
-            co_await http::async_read(stream, used->buffer, parser, to_tuple);
+        auto const unreadable = co_await this->receive(*used, parser);
         used->is_receiving = false;
         if (unreadable) {
             if (!is_protocol_error(unreadable)) {
@@ -288,6 +288,20 @@
         co_return true;
     }
 
+    asio::awaitable<boost::system::error_code>
+    receive(connection& used, http::request_parser<http::string_body>& parser) {
+        used.stream.expires_after(this->limits.header_timeout);
+        auto const [no_header, header_size] =
+            co_await http::async_read_header(used.stream, used.buffer, parser, to_tuple);
+        if (no_header || parser.is_done()) {
+            co_return no_header;
+        }
+        used.stream.expires_after(this->limits.request_timeout);
+        auto const [no_body, body_size] =
+            co_await http::async_read(used.stream, used.buffer, parser, to_tuple);
+        co_return no_body;
+    }
+
     void start_handler(connection_pointer const& used, http::request<http::string_body> message) {
         auto const answer = std::make_shared<pending_answer>();
         answer->keeps_alive = message.keep_alive();
@@ -422,6 +436,10 @@
     this->self->cancel_handlers();
 }
 
+void http_server::set_limits(http_limits const& limits) {
+    this->self->set_limits(limits);
+}
+
 std::size_t http_server::requests_in_flight() const {
     return this->self->requests_in_flight();
 }
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -48,6 +48,9 @@
     /// connection.
     void cancel_handlers();
 
+    /// Puts other bounds in force for all connections, from their next request on.
+    void set_limits(http_limits const& limits);
+
     /// Requests whose answers are not written yet.
     std::size_t requests_in_flight() const;
 
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -51,14 +51,16 @@
 // A node that knows its configuration and no target yet still forwards requests to others.
 constexpr milliseconds target_patience{2500};
 constexpr std::size_t store_answer_bytes = std::size_t{8} * 1024 * 1024;
-constexpr std::size_t body_bytes = std::size_t{64} * 1024 * 1024;
 constexpr unsigned status_unavailable = 503;
 constexpr std::string_view metrics_path = "/metrics";
 
-http_limits caller_bounds() {
+// The bounds of the operator's configuration as those of a server.
+http_limits bounds_of(caller_limits const& wanted) {
     http_limits limits;
-    limits.body_bytes = body_bytes;
-    limits.idle_timeout = milliseconds(15'000);
+    limits.body_bytes = wanted.body_bytes;
+    limits.header_bytes = static_cast<std::uint32_t>(wanted.header_bytes);
+    limits.header_timeout = wanted.header_timeout;
+    limits.idle_timeout = wanted.idle_timeout;
     return limits;
 }
 
@@ -80,7 +82,7 @@
     explicit implementation(sidecar_settings const& given)
         : settings(given)
         , bounds(read_bounds(given.bounds))
-        , connections(data_context, caller_bounds())
+        , connections(data_context, bounds_of({}))
         , control_connections(control_context, store_bounds())
         , store(control_connections, given.store)
         , evidence(views, given.service)
@@ -100,11 +102,11 @@
         , calls(
               data_context,
               [this](http_request request) { return this->respond_to_caller(std::move(request)); },
-              caller_bounds())
+              bounds_of({}))
         , peers(
               data_context,
               [this](http_request request) { return this->respond_to_peer(std::move(request)); },
-              caller_bounds())
+              bounds_of({}))
         , ready(data_context,
                 [this](http_request request) { return this->respond_ready(std::move(request)); })
         , heartbeats(control_context,
@@ -254,9 +256,25 @@
         if (view && view->configuration) {
             this->metrics.configuration_version.set(
                 static_cast<std::int64_t>(view->configuration->version()));
+            this->put_limits_in_force(view->configuration->limits());
         }
     }
 
+    // Runs on the control thread; the servers belong to the data thread.
+    void put_limits_in_force(caller_limits const& wanted) {
+        if (wanted == this->limits) {
+            return;
+        }
+        this->limits = wanted;
+        log::write(log::level::info, "limits_in_force",
+                   {{"header_bytes", static_cast<std::int64_t>(wanted.header_bytes)},
+                    {"body_bytes", static_cast<std::int64_t>(wanted.body_bytes)},
+                    {"header_timeout_ms", wanted.header_timeout.count()},
+                    {"idle_timeout_ms", wanted.idle_timeout.count()}});
+        asio::post(this->data_context,
+                   [this, wanted] { this->calls.set_limits(bounds_of(wanted)); });
+    }
+
     void ask_for_newer(std::string const& ip, std::uint64_t version) {
         if (version <= this->asked_version) {
             return;
@@ -355,6 +373,8 @@
     http_server ready;
     http_server heartbeats;
     http_server exchange;
+    /// The operator's limits that are in force; belongs to the control thread.
+    caller_limits limits;
     boot_time started;
     std::string last_sender;
     std::uint64_t asked_version = 0;
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -300,6 +300,25 @@
     CHECK(long_answer < short_answer);
 }
 
+// Guards against callers that hold connections with headers which never end.
+TEST(http, slow_header_ends_its_connection) {
+    http_limits limits;
+    limits.header_timeout = milliseconds(50);
+    auto const address = server.start(echo, limits);
+    STRCMP_EQUAL("", send_and_read(address, "GET / HTTP/1.1\r\nHost: ").c_str());
+}
+
+// Guards against an idle time of the operator's that stays without effect on a running server.
+TEST(http, changed_limits_hold_for_open_connections) {
+    auto const address = server.start(echo);
+    boost::asio::post(server.io(), [&] {
+        http_limits limits;
+        limits.idle_timeout = milliseconds(50);
+        server.server().set_limits(limits);
+    });
+    wait_until_closed(address);
+}
+
 // Guards against a late answer to an earlier request that is delivered to the next one, and against
 // its own answer being lost then.
 TEST(http, answers_to_other_requests_are_skipped) {
