mesh: keep a node's part of the fleet's retries in one place

Cause: the part was worked out in call_entry, from the members known at the first request; a node that had read the configuration but not the members yet took the reserve of the whole fleet, after all nodes were killed each of them.

Change: fleet_retry_budget holds the parts; nothing is sent again while the fleet's size is unknown. Tests: the sum over all nodes keeps to the limit, also after all were restarted; nothing is taken with no members known; services are told apart.

--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "http/connection_pool.h"
 #include "mesh/caller_deadlines.h"
+#include "mesh/fleet_retry_budget.h"
 #include "mesh/mesh_configuration.h"
 #include "mesh/target_selector.h"
 #include "mesh/version_share.h"
@@ -10,7 +11,6 @@
 #include "observability/counter.h"
 #include "observability/latency_histogram.h"
 #include "platform/messages.h"
-#include "routing/retry_budget.h"
 #include "sidecar/hop_message.h"
 #include "sidecar/sidecar_metrics.h"
 #include "sidecar/target_gate.h"
@@ -36,8 +36,6 @@
 constexpr milliseconds unready_retry_after{300};
 constexpr milliseconds no_target_retry_after{250};
 constexpr unsigned first_failure_status = 500;
-// A part of the ratio stays unused, since calls that a repeated request makes count as repeats too.
-constexpr double used_part_of_budget = 0.5;
 
 namespace status_codes {
 constexpr unsigned malformed = 400;
@@ -55,12 +53,12 @@
                    rcu_cell<fleet_view> const& fleet, connection_pool& pool, target_gate& own_gate,
                    sidecar_metrics& measured, newer_function notice)
         : identity(std::move(own))
-        , bounds(figures)
         , views(fleet)
         , connections(pool)
         , gate(own_gate)
         , metrics(measured)
         , notice_newer(std::move(notice))
+        , retries({figures.retry_ratio, figures.retry_extra})
         , selector(this->identity.availability_zone) {}
 
     // A request while it is offered to one member after another.
@@ -117,7 +115,7 @@
         routed.request = std::move(request);
         routed.arrived = arrived;
         this->fill_call(routed, *caller);
-        this->budget(routed.service).record_request();
+        this->retries.record_request(routed.service, *view);
         auto answer = co_await this->place_until_end(routed);
         this->metrics.request_duration.record(boot_clock::now() - arrived);
         this->log_end(routed, answer);
@@ -328,7 +326,8 @@
                    {{"request", routed.call.attempt_id},
                     {"instance", chosen.instance},
                     {"status", static_cast<std::int64_t>(refused.answer.status)}});
-        if (routed.sends < routed.route->attempts && this->budget(routed.service).try_take()) {
+        if (routed.sends < routed.route->attempts &&
+            this->retries.try_take(routed.service, *routed.view)) {
             return std::nullopt;
         }
         return this->give_up(routed);
@@ -386,9 +385,10 @@
     }
 
     bool may_send_again(routed_call const& routed) {
-        bool const may_send =
-            routed.call.kind == request_kind::idempotent && routed.sends < routed.route->attempts &&
-            boot_clock::now() < routed.call.deadline && this->budget(routed.service).try_take();
+        bool const may_send = routed.call.kind == request_kind::idempotent &&
+                              routed.sends < routed.route->attempts &&
+                              boot_clock::now() < routed.call.deadline &&
+                              this->retries.try_take(routed.service, *routed.view);
         this->metrics.sent_again.add(may_send ? 1 : 0);
         return may_send;
     }
@@ -414,26 +414,6 @@
         this->selector.observe(chosen.instance, seen, boot_clock::now());
     }
 
-    retry_budget& budget(std::string const& service) {
-        auto& held = this->budgets[service];
-        if (!held) {
-            auto const view = this->views.load();
-            std::size_t nodes = 0;
-            for (auto const& [name, members] : view->members) {
-                nodes += members.size();
-            }
-            retry_budget_options options;
-            options.ratio = this->bounds.retry_ratio * used_part_of_budget;
-            // Every node has its part of what the fleet may use beyond the ratio; a restarted node
-            // starts anew, so only half of it is given out.
-            options.reserve =
-                std::max(1.0, this->bounds.retry_extra * used_part_of_budget /
-                                  static_cast<double>(std::max<std::size_t>(1, nodes)));
-            held = std::make_unique<retry_budget>(options);
-        }
-        return *held;
-    }
-
     // Counts a request as on its way to a member, on every way out.
     class in_flight_count {
     public:
@@ -453,18 +433,17 @@
     };
 
     entry_identity identity;
-    deployment_bounds bounds;
     rcu_cell<fleet_view> const& views;
     connection_pool& connections;
     target_gate& gate;
     sidecar_metrics& metrics;
     newer_function notice_newer;
+    fleet_retry_budget retries;
     target_selector selector;
     caller_deadlines deadlines;
     random_source random = make_random_source();
     std::unordered_map<std::string, weighted_choice> service_choices;
     std::unordered_map<std::string, weighted_choice> version_choices;
-    std::unordered_map<std::string, std::unique_ptr<retry_budget>> budgets;
     bool is_ending = false;
 };
 
--- /dev/null
+++ b/tests/mesh/fleet_retry_budget_test.cpp
@@ -0,0 +1,74 @@
+#include "mesh/fleet_retry_budget.h"
+
+#include "mesh/fleet_view.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+using namespace peridot;
+
+namespace {
+
+constexpr std::size_t nodes = 12;
+constexpr fleet_retry_limit limit{0.2, 60};
+
+fleet_view make_view() {
+    fleet_view view;
+    view.members["deposits"].resize(nodes / 2);
+    view.members["payouts"].resize(nodes / 2);
+    return view;
+}
+
+int take_all(fleet_retry_budget& budget, std::string const& service, fleet_view const& view) {
+    int taken = 0;
+    while (budget.try_take(service, view)) {
+        ++taken;
+    }
+    return taken;
+}
+
+} // namespace
+
+TEST_GROUP(fleet_retry_budget) {
+    fleet_view view = make_view();
+};
+
+// Guards against repeats beyond the fleet's limit when every node uses up its own part, also after
+// all nodes have been restarted.
+TEST(fleet_retry_budget, parts_of_all_nodes_keep_to_the_limit) {
+    int taken = 0;
+    constexpr int requests = 100;
+    for (int start = 0; start < 2; ++start) {
+        for (std::size_t node = 0; node < nodes; ++node) {
+            fleet_retry_budget budget(limit);
+            for (int round = 0; round < requests / 2; ++round) {
+                budget.record_request("deposits", view);
+                taken += budget.try_take("deposits", view) ? 1 : 0;
+            }
+            taken += take_all(budget, "deposits", view);
+        }
+    }
+    auto const allowed = limit.ratio * requests * static_cast<double>(nodes) + limit.extra;
+    CHECK(taken <= static_cast<int>(allowed));
+    CHECK(taken > 0);
+}
+
+// Guards against a node that has read the configuration but not the members yet, and takes the
+// fleet's whole reserve for its own: after all nodes were killed each had it.
+TEST(fleet_retry_budget, nothing_is_sent_again_while_the_fleet_is_unknown) {
+    fleet_retry_budget budget(limit);
+    fleet_view const empty;
+    budget.record_request("deposits", empty);
+    CHECK_FALSE(budget.try_take("deposits", empty));
+    auto const taken = take_all(budget, "deposits", view);
+    CHECK(taken > 0);
+    CHECK(taken <= static_cast<int>(limit.extra / static_cast<double>(nodes)) + 1);
+}
+
+// Guards against one service's failures that use up the repeats of another.
+TEST(fleet_retry_budget, services_are_told_apart) {
+    fleet_retry_budget budget(limit);
+    take_all(budget, "deposits", view);
+    CHECK(budget.try_take("payouts", view));
+}
