sidecar: split writing and waiting off fleet_sync

row_writer writes rows, by itself or through another node; change_signal lets answers wait for a change of the rows.

--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -10,8 +10,10 @@
 #include "platform/decoders.h"
 #include "platform/store_client.h"
 #include "settings/sidecar_settings.h"
+#include "sidecar/change_signal.h"
 #include "sidecar/commit_message.h"
 #include "sidecar/row_exchange_message.h"
+#include "sidecar/row_writer.h"
 #include "sidecar/table_feed.h"
 #include "sidecar/view_builder.h"
 
@@ -31,7 +33,6 @@
 
 namespace asio = boost::asio;
 
-constexpr milliseconds commit_timeout{1500};
 // Pauses between calls to a store that does not answer. The first nodes of an availability zone try
 // it often and tell the others.
 constexpr milliseconds longest_leading_pause{1000};
@@ -53,8 +54,6 @@
 constexpr milliseconds first_choice_period{30};
 // What another node holds already usually arrives by the own source within this time.
 constexpr milliseconds arrival_time{300};
-// After a failed write another node writes for this long, before the store is tried again.
-constexpr milliseconds store_avoidance{3000};
 constexpr std::size_t most_contacts = 256;
 // Of the questions to any node, this many in a row go to the own availability zone.
 constexpr unsigned near_questions = 3;
@@ -81,7 +80,9 @@
         , availability_zone(settings.availability_zone)
         , port(settings.control_port)
         , sources(settings.instance, settings.availability_zone)
-        , role_changed(io, steady_time::max()) {
+        , role_changed(io, steady_time::max())
+        , rows_changed(io)
+        , writer(pool, client, settings.control_port) {
         for (auto const table : {store_keys::operator_table, fleet_keys::table}) {
             this->feeds.emplace(table, this->make_feed(std::string(table)));
         }
@@ -118,8 +119,9 @@
     }
 
     asio::awaitable<commit_outcome> commit(std::vector<replica_row> rows) {
-        auto outcome = co_await this->write(rows);
+        auto outcome = co_await this->writer.write(rows);
         if (auto const* done = std::get_if<commit_done>(&outcome)) {
+            this->note_store_time(done->store_time);
             for (auto& row : rows) {
                 row.revision = done->revision;
             }
@@ -139,7 +141,7 @@
             malformed.status = 400;
             co_return malformed;
         }
-        co_return write_commit_outcome(co_await self->write_to_store(std::move(*rows)));
+        co_return write_commit_outcome(co_await self->writer.write_to_store(std::move(*rows)));
     }
 
     // Holds the object: a held answer may outlive the owner of the server that asked for it.
@@ -174,83 +176,12 @@
     std::function<void()> handle_change;
 
 private:
-    // Keeps the timer of a held answer among those that a change ends.
-    class held_answer {
-    public:
-        held_answer(implementation& owner, steady_time until)
-            : owner(owner), timer(owner.context, until) {
-            this->owner.held_answers.insert(&this->timer);
-        }
-        ~held_answer() { this->owner.held_answers.erase(&this->timer); }
-        held_answer(held_answer const&) = delete;
-        held_answer& operator=(held_answer const&) = delete;
-        held_answer(held_answer&&) = delete;
-        held_answer& operator=(held_answer&&) = delete;
-
-        asio::awaitable<void> wait() {
-            co_await this->timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        }
-
-    private:
-        implementation& owner;
-        asio::steady_timer timer;
-    };
-
     // The last answer about rows, and what it was written for.
     struct written_page {
         row_page page;
         http_response answer;
     };
 
-    // The condition on the revisions makes a second way safe, also after a lost answer.
-    asio::awaitable<commit_outcome> write(std::vector<replica_row> rows) {
-        if (!this->writer || std::chrono::steady_clock::now() >= this->store_avoided_until) {
-            auto outcome = co_await this->write_to_store(rows);
-            auto const* failed = std::get_if<error>(&outcome);
-            if (failed == nullptr || !this->writer) {
-                co_return outcome;
-            }
-            this->store_avoided_until = std::chrono::steady_clock::now() + store_avoidance;
-            log::write(log::level::info, "rows_written_by_other_node",
-                       {{"ip", this->writer->ip}, {"reason", describe(*failed)}});
-        }
-        co_return co_await this->write_through(*this->writer, std::move(rows));
-    }
-
-    asio::awaitable<commit_outcome> write_to_store(std::vector<replica_row> rows) {
-        store_transaction transaction;
-        for (auto& row : rows) {
-            transaction.writes.push_back({std::move(row.table), std::move(row.key),
-                                          std::move(row.value), row.revision, false});
-        }
-        auto outcome = co_await this->store.commit(
-            std::move(transaction), std::chrono::steady_clock::now() + commit_timeout);
-        if (auto const* done = std::get_if<commit_done>(&outcome)) {
-            this->note_store_time(done->store_time);
-        }
-        co_return outcome;
-    }
-
-    asio::awaitable<commit_outcome> write_through(peer_source peer, std::vector<replica_row> rows) {
-        exchange_options options;
-        options.connect_timeout = peer_connect_timeout;
-        socket_address const address{peer.ip, this->port};
-        auto const outcome = co_await this->connections.exchange(
-            address, write_commit_request(rows),
-            std::chrono::steady_clock::now() + commit_timeout + answer_margin, options);
-        auto const* answer = std::get_if<http_response>(&outcome);
-        if (answer == nullptr) {
-            this->writer.reset();
-            co_return error{result_code::platform_answer_lost,
-                            std::get<exchange_failure>(outcome).reason.message};
-        }
-        auto written = read_commit_outcome(*answer);
-        if (std::holds_alternative<error>(written)) {
-            this->writer.reset();
-        }
-        co_return written;
-    }
-
     std::unique_ptr<table_feed> make_feed(std::string const& table) {
         table_feed::handlers receivers;
         receivers.replace = [this, table](std::vector<replica_row> rows, std::uint64_t revision) {
@@ -388,7 +319,7 @@
             peer.instance,
             value(page).is_current ? source_observation::current : source_observation::stale, now);
         if (value(page).is_current) {
-            this->writer = std::move(peer);
+            this->writer.set_helper(std::move(peer));
         }
         co_return std::move(value(page));
     }
@@ -478,9 +409,7 @@
         if (this->handle_change) {
             this->handle_change();
         }
-        for (auto* timer : this->held_answers) {
-            timer->cancel();
-        }
+        this->rows_changed.notify();
     }
 
     // Keeps an answer back until there is something newer than the asking node holds.
@@ -488,8 +417,7 @@
         auto const until = std::chrono::steady_clock::now() + question.hold;
         while (std::chrono::steady_clock::now() < until && this->is_current() &&
                !this->has_newer(question)) {
-            held_answer held(*this, until);
-            co_await held.wait();
+            co_await this->rows_changed.wait(until);
         }
     }
 
@@ -540,11 +468,9 @@
     std::map<std::string, std::unique_ptr<table_feed>, std::less<>> feeds;
     bool follows_store = true;
     asio::steady_timer role_changed;
-    std::set<asio::steady_timer*> held_answers;
+    change_signal rows_changed;
     std::optional<written_page> written;
-    /// The node that was last seen to follow the store; it writes for this one if need be.
-    std::optional<peer_source> writer;
-    steady_time store_avoided_until;
+    row_writer writer;
     bool has_published = false;
     std::optional<milliseconds> store_clock_offset;
     std::set<std::string> contacts;
--- /dev/null
+++ b/libraries/sidecar/row_writer.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/time.h"
+#include "mesh/replica_row.h"
+#include "mesh/row_source.h"
+#include "platform/store_commit.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace peridot {
+
+class connection_pool;
+class store_client;
+
+/// Writes rows to the store, and through another node while the store does not serve this one.
+/// Lives on the control thread.
+class row_writer {
+public:
+    /// The port is that of state exchange, the same on every node.
+    row_writer(connection_pool& connections, store_client& store, std::uint16_t port);
+    ~row_writer();
+    row_writer(row_writer const&) = delete;
+    row_writer& operator=(row_writer const&) = delete;
+    row_writer(row_writer&&) = delete;
+    row_writer& operator=(row_writer&&) = delete;
+
+    /// Names a node that follows the store and can write for this one.
+    void set_helper(peer_source helper);
+
+    /// Writes rows together under the condition that they have the revisions given. The condition
+    /// makes a second way safe, also after a lost answer.
+    boost::asio::awaitable<commit_outcome> write(std::vector<replica_row> rows);
+
+    /// Writes rows without the help of another node.
+    boost::asio::awaitable<commit_outcome> write_to_store(std::vector<replica_row> rows);
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> self;
+};
+
+} // namespace peridot
