--- /dev/null
+++ b/libraries/mesh/share_selector.cpp
@@ -0,0 +1,46 @@
+#include "mesh/share_selector.h"
+
+#include "mesh/mesh_route.h"
+#include "mesh/weighted_choice.h"
+
+#include <iterator>
+#include <unordered_map>
+#include <vector>
+
+namespace peridot {
+
+class share_selector::implementation {
+public:
+    std::unordered_map<std::string, weighted_choice> by_route;
+    std::unordered_map<std::string, weighted_choice> by_service;
+};
+
+share_selector::share_selector() : self(std::make_unique<implementation>()) {}
+
+share_selector::~share_selector() = default;
+
+std::string const& share_selector::choose_service(mesh_route const& route) {
+    if (route.services.size() == 1) {
+        return route.services.front().service;
+    }
+    std::vector<double> weights;
+    for (auto const& part : route.services) {
+        weights.push_back(part.weight);
+    }
+    return route.services[this->self->by_route[route.name].next(weights)].service;
+}
+
+std::string const& share_selector::choose_version(std::string const& service,
+                                                  std::map<std::string, double> const& shares) {
+    if (shares.size() == 1) {
+        return shares.begin()->first;
+    }
+    std::vector<double> weights;
+    for (auto const& [version, share] : shares) {
+        weights.push_back(share);
+    }
+    auto const due = static_cast<std::ptrdiff_t>(this->self->by_service[service].next(weights));
+    return std::next(shares.begin(), due)->first;
+}
+
+} // namespace peridot
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -5,9 +5,9 @@
 #include "mesh/caller_deadlines.h"
 #include "mesh/fleet_retry_budget.h"
 #include "mesh/mesh_configuration.h"
+#include "mesh/share_selector.h"
 #include "mesh/target_selector.h"
 #include "mesh/version_share.h"
-#include "mesh/weighted_choice.h"
 #include "observability/counter.h"
 #include "observability/latency_histogram.h"
 #include "platform/messages.h"
@@ -16,9 +16,7 @@
 #include "sidecar/target_gate.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
-#include <unordered_map>
 
 namespace peridot {
 
@@ -111,7 +109,7 @@
         routed.view = view;
         routed.configuration = view->configuration;
         routed.route = route;
-        routed.service = this->choose_service(*route);
+        routed.service = this->share_choices.choose_service(*route);
         routed.request = std::move(request);
         routed.arrived = arrived;
         this->fill_call(routed, *caller);
@@ -209,17 +207,6 @@
         co_return this->give_up(routed);
     }
 
-    std::string choose_service(mesh_route const& route) {
-        if (route.services.size() == 1) {
-            return route.services.front().service;
-        }
-        std::vector<double> weights;
-        for (auto const& part : route.services) {
-            weights.push_back(part.weight);
-        }
-        return route.services[this->service_choices[route.name].next(weights)].service;
-    }
-
     std::optional<target_choice> choose(routed_call& routed, boot_time now) {
         // Members come and go while a request is under way, so the newest view counts.
         routed.view = this->views.load();
@@ -231,7 +218,7 @@
         auto const* current = rolled == routed.view->rollouts.end() ? nullptr : &rolled->second;
         auto const shares = version_shares(found->second, current);
         if (!shares.contains(routed.version)) {
-            routed.version = this->choose_version(routed.service, shares);
+            routed.version = this->share_choices.choose_version(routed.service, shares);
         }
         for (auto const& version : versions_to_try(routed.version, shares, current)) {
             auto choice = this->selector.choose(members_in_use(found->second, version, current),
@@ -243,19 +230,6 @@
         return std::nullopt;
     }
 
-    std::string choose_version(std::string const& service,
-                               std::map<std::string, double> const& shares) {
-        if (shares.size() == 1) {
-            return shares.begin()->first;
-        }
-        std::vector<double> weights;
-        for (auto const& [version, share] : shares) {
-            weights.push_back(share);
-        }
-        auto const due = static_cast<std::ptrdiff_t>(this->version_choices[service].next(weights));
-        return std::next(shares.begin(), due)->first;
-    }
-
     asio::awaitable<gate_answer> offer(member const& chosen, routed_call const& routed) {
         in_flight_count const counted(this->selector, chosen.instance);
         if (chosen.instance == this->identity.instance) {
@@ -442,8 +416,7 @@
     target_selector selector;
     caller_deadlines deadlines;
     random_source random = make_random_source();
-    std::unordered_map<std::string, weighted_choice> service_choices;
-    std::unordered_map<std::string, weighted_choice> version_choices;
+    share_selector share_choices;
     bool is_ending = false;
 };
 
--- a/services/node/main.cpp
+++ b/services/node/main.cpp
@@ -1,46 +1,33 @@
 #include "core/log.h"
 #include "node/node.h"
 #include "settings/node_settings.h"
+#include "settings/service_arguments.h"
 
-#include <CLI/CLI.hpp>
 #include <boost/json.hpp>
 
 #include <iostream>
 
-namespace {
-
-constexpr int exit_settings_invalid = 2;
-constexpr int exit_failed = 1;
-
-} // namespace
-
 int main(int argc, char** argv) {
-    CLI::App arguments(
-        "The peridotford node: proxy of one target instance, and its control agent.");
-    arguments.set_version_flag("--version", PERIDOT_VERSION);
-    std::string settings_file;
-    bool only_checks = false;
-    arguments.add_option("--settings", settings_file, "JSON settings file")->required();
-    arguments.add_flag("--check-settings", only_checks, "Check the settings file and exit");
-    try {
-        arguments.parse(argc, argv);
-    } catch (CLI::ParseError const& wrong) {
-        return arguments.exit(wrong) == 0 ? 0 : exit_settings_invalid;
+    auto const parsed = peridot::parse_service_arguments(
+        "The peridotford node: proxy of one target instance, and its control agent.", argc, argv);
+    if (auto const* code = std::get_if<int>(&parsed)) {
+        return *code;
     }
-    auto const settings = peridot::load_node_settings(settings_file);
+    auto const& arguments = std::get<peridot::service_arguments>(parsed);
+    auto const settings = peridot::load_node_settings(arguments.settings_file);
     if (!peridot::is_ok(settings)) {
         std::cerr << describe(peridot::failure(settings)) << "\n";
-        return exit_settings_invalid;
+        return peridot::exit_codes::settings_invalid;
     }
-    if (only_checks) {
-        return 0;
+    if (arguments.only_checks) {
+        return peridot::exit_codes::done;
     }
     peridot::log::configure(peridot::value(settings).instance, peridot::value(settings).log_level);
     auto const node = peridot::node::create(peridot::value(settings));
     if (!peridot::is_ok(node)) {
         std::cerr << describe(peridot::failure(node)) << "\n";
-        return exit_failed;
+        return peridot::exit_codes::failed;
     }
     std::cout << boost::json::serialize(peridot::value(node)->addresses()) << std::endl;
-    return peridot::value(node)->run() ? 0 : exit_failed;
+    return peridot::value(node)->run() ? peridot::exit_codes::done : peridot::exit_codes::failed;
 }
