--- a/libraries/sidecar/member_json.cpp
+++ b/libraries/sidecar/member_json.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/member_json.h"
 
+#include "core/json_fields.h"
+
 #include <boost/json.hpp>
 
 namespace peridot {
@@ -15,26 +17,6 @@
     return text == "draining" ? target_state::draining : target_state::gone;
 }
 
-std::string text_in(json::object const& object, std::string_view key) {
-    auto const* found = object.if_contains(key);
-    auto const* text = found == nullptr ? nullptr : found->if_string();
-    return text == nullptr ? std::string{} : std::string(text->data(), text->size());
-}
-
-std::int64_t whole_in(json::object const& object, std::string_view key) {
-    auto const* found = object.if_contains(key);
-    boost::system::error_code unfit;
-    auto const read = found == nullptr ? 0 : found->to_number<std::int64_t>(unfit);
-    return unfit ? 0 : read;
-}
-
-double number_in(json::object const& object, std::string_view key) {
-    auto const* found = object.if_contains(key);
-    boost::system::error_code unfit;
-    auto const read = found == nullptr ? 0 : found->to_number<double>(unfit);
-    return unfit ? 0 : read;
-}
-
 } // namespace
 
 std::string encode_member(member const& record) {
@@ -68,8 +50,8 @@
     record.target.version = text_in(*object, "version");
     auto const slots = whole_in(*object, "slots");
     record.target.state = state_of(text_in(*object, "state"));
-    record.target.started_ms = whole_in(*object, "started_ms");
-    if (record.instance.empty() || record.ip.empty() || record.target.id.empty() || slots <= 0) {
+    record.target.started_ms = static_cast<std::int64_t>(whole_in(*object, "started_ms"));
+    if (record.instance.empty() || record.ip.empty() || record.target.id.empty() || slots == 0) {
         return error{result_code::platform_record_malformed,
                      "a member record lacks its instance, address, target or slots"};
     }
