--- a/libraries/mesh/row_source_selector.cpp
+++ b/libraries/mesh/row_source_selector.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace peridot {
@@ -74,9 +75,15 @@
             }
         }
     }
+    std::unordered_set<std::string> present;
     for (auto& [zone, nodes] : own.by_zone) {
         std::ranges::sort(nodes, implementation::comes_before);
+        for (auto const& known : nodes) {
+            present.insert(known.node.instance);
+        }
     }
+    std::erase_if(own.pauses,
+                  [&present](auto const& entry) { return !present.contains(entry.first); });
 }
 
 void row_source_selector::observe(std::string const& instance, source_observation seen,
--- a/libraries/sidecar/commit_message.cpp
+++ b/libraries/sidecar/commit_message.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "sidecar/replica_row_json.h"
+#include "sidecar/row_conversion.h"
 
 #include <boost/json.hpp>
 
@@ -18,11 +19,7 @@
         return {{"revision", done.revision}, {"store_time_ms", done.store_time.count()}};
     }
     json::object operator()(commit_conflict const& conflict) const {
-        std::vector<replica_row> rows;
-        for (auto const& row : conflict.rows) {
-            rows.push_back({row.table, row.key, row.value, row.revision, row.is_removed});
-        }
-        return {{"conflict", to_json(rows)}};
+        return {{"conflict", to_json(to_replica_rows(conflict.rows))}};
     }
     json::object operator()(error const& failed) const {
         return {{"error", static_cast<unsigned>(failed.code)}, {"message", failed.message}};
@@ -31,11 +28,7 @@
 
 commit_outcome read_outcome(json::object const& object) {
     if (auto const* rows = object.if_contains("conflict")) {
-        commit_conflict conflict;
-        for (auto const& row : read_replica_rows(*rows)) {
-            conflict.rows.push_back({row.table, row.key, row.value, row.revision, row.is_removed});
-        }
-        return conflict;
+        return commit_conflict{to_store_rows(read_replica_rows(*rows))};
     }
     if (auto const* code = object.if_contains("error")) {
         return error{static_cast<result_code>(code->to_number<unsigned>()),
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -12,6 +12,7 @@
 #include "settings/sidecar_settings.h"
 #include "sidecar/change_signal.h"
 #include "sidecar/commit_message.h"
+#include "sidecar/row_conversion.h"
 #include "sidecar/row_exchange_message.h"
 #include "sidecar/row_writer.h"
 #include "sidecar/table_feed.h"
@@ -58,14 +59,6 @@
 // Of the questions to any node, this many in a row go to the own availability zone.
 constexpr unsigned near_questions = 3;
 
-std::vector<replica_row> to_replica(std::vector<store_row> const& rows) {
-    std::vector<replica_row> converted;
-    for (auto const& row : rows) {
-        converted.push_back({row.table, row.key, row.value, row.revision, row.is_removed});
-    }
-    return converted;
-}
-
 } // namespace
 
 class fleet_sync::implementation : public std::enable_shared_from_this<implementation> {
@@ -127,7 +120,7 @@
             }
             this->apply(std::move(rows));
         } else if (auto const* conflict = std::get_if<commit_conflict>(&outcome)) {
-            this->apply(to_replica(conflict->rows));
+            this->apply(to_replica_rows(conflict->rows));
         }
         co_return outcome;
     }
@@ -345,8 +338,8 @@
         }
     }
 
-    // Whether another node holds rows that this one lacks. A revision above the own one need not
-    // belong to a row of the table, so only those of rows count.
+    // Whether another node has read a table further than this one. It need not hold other rows,
+    // since a table can be read anew without any change.
     bool is_behind(table_revisions const& others) const {
         return std::ranges::any_of(others, [this](auto const& entry) {
             auto const feed = this->feeds.find(entry.first);
--- a/libraries/sidecar/row_writer.cpp
+++ b/libraries/sidecar/row_writer.cpp
@@ -4,6 +4,7 @@
 #include "http/connection_pool.h"
 #include "platform/store_client.h"
 #include "sidecar/commit_message.h"
+#include "sidecar/row_conversion.h"
 
 #include <boost/asio/use_awaitable.hpp>
 
@@ -47,10 +48,7 @@
 
     asio::awaitable<commit_outcome> write_to_store(std::vector<replica_row> rows) {
         store_transaction transaction;
-        for (auto& row : rows) {
-            transaction.writes.push_back({std::move(row.table), std::move(row.key),
-                                          std::move(row.value), row.revision, false});
-        }
+        transaction.writes = to_store_rows(std::move(rows));
         co_return co_await this->store.commit(std::move(transaction),
                                               std::chrono::steady_clock::now() + commit_timeout);
     }
--- a/libraries/sidecar/table_feed.cpp
+++ b/libraries/sidecar/table_feed.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "core/random_source.h"
 #include "platform/store_client.h"
+#include "sidecar/row_conversion.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -30,16 +31,6 @@
 // A failure says nothing about the store after this long.
 constexpr milliseconds failure_validity{5000};
 
-std::vector<replica_row> to_replica(std::vector<store_row> rows) {
-    std::vector<replica_row> converted;
-    converted.reserve(rows.size());
-    for (auto& row : rows) {
-        converted.push_back({std::move(row.table), std::move(row.key), std::move(row.value),
-                             row.revision, row.is_removed});
-    }
-    return converted;
-}
-
 } // namespace
 
 class table_feed::implementation {
@@ -72,7 +63,7 @@
             if (from.empty()) {
                 as_of = value(page).revision;
             }
-            auto more = to_replica(std::move(value(page).rows));
+            auto more = to_replica_rows(std::move(value(page).rows));
             std::ranges::move(more, std::back_inserter(rows));
             if (!value(page).has_more || rows.empty()) {
                 break;
@@ -96,7 +87,7 @@
         }
         this->note_success(value(page).store_time);
         this->revision = std::max(this->revision, value(page).revision);
-        this->receive.apply(to_replica(std::move(value(page).rows)));
+        this->receive.apply(to_replica_rows(std::move(value(page).rows)));
         co_return true;
     }
 
