--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -80,7 +80,7 @@
     }
 
     void rows_changed() {
-        // Whatever brought the rows may take the record as well.
+        // The source of the rows may be able to write the record as well.
         this->retry.cancel();
         auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
         if (row == nullptr || this->tracker.current()) {
