mesh: state the gate's waiting order and slot times once

The order of waiting requests stood twice (once for sorting, once for the expected start), the next free slot three times, the least time of a request twice, and dispatch refused all as refuse_all does. They are rank, occupy_first, least_time and refuse_all now.

Behaviour as before: 1,200,000 random operations gave the same decisions as the earlier code, but for the order in which the refusals of one call are listed while there are no slots.

--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <queue>
 #include <unordered_map>
+#include <utility>
 
 namespace peridot {
 
@@ -58,9 +59,11 @@
         boot_time started;
     };
 
-    // The order in which waiting requests get slots.
-    static boot_time urgency(gate_request const& request) {
-        return request.target_at + request.priority * priority_step;
+    // The order in which waiting requests get slots: those that can be in time first, each group by
+    // the time at which the answers lose value.
+    std::pair<bool, boot_time> rank(gate_request const& request, boot_time now) const {
+        bool const is_late = now + this->likely_time(request.route) > request.target_at;
+        return {is_late, request.target_at + request.priority * priority_step};
     }
 
     static nanoseconds part_of(nanoseconds time, double part) {
@@ -125,29 +128,26 @@
     // When the request would be answered; the queue's later requests do not matter for it.
     boot_time expected_start(gate_request const& request, boot_time now) const {
         auto times = this->free_slots(now);
-        bool const is_late = this->is_late(request, now);
+        auto const own_rank = this->rank(request, now);
         for (auto const& waiting : this->queue) {
-            if (!this->comes_before(waiting, request, is_late, now)) {
-                continue;
+            if (this->rank(waiting, now) <= own_rank) {
+                this->occupy_first(times, waiting);
             }
-            auto const start = times.top();
-            times.pop();
-            times.push(start + this->mean_time(waiting.route));
         }
         return std::max(now, times.top());
     }
 
-    bool is_late(gate_request const& request, boot_time now) const {
-        return now + this->likely_time(request.route) > request.target_at;
+    // Gives the slot that becomes free first to the request.
+    void occupy_first(slot_times& times, gate_request const& request) const {
+        auto const start = times.top();
+        times.pop();
+        times.push(start + this->mean_time(request.route));
     }
 
-    bool comes_before(gate_request const& first, gate_request const& second, bool second_is_late,
-                      boot_time now) const {
-        bool const first_is_late = this->is_late(first, now);
-        if (first_is_late != second_is_late) {
-            return second_is_late;
-        }
-        return urgency(first) <= urgency(second);
+    // The time that a request must have from its start on, not to be given up by its deadline.
+    nanoseconds least_time(gate_request const& request, boot_time now) const {
+        return std::min(this->likely_time(request.route),
+                        part_of(request.deadline - now, certain_part_of_time));
     }
 
     void start(gate_request const& request, boot_time now) {
@@ -191,7 +191,6 @@
         return gate_refusal{result_code::request_no_endpoint, shortest_retry_after};
     }
     own.estimate(request, now);
-    auto const needed = own.likely_time(request.route);
     if (now >= request.deadline) {
         return gate_refusal{result_code::request_deadline_exceeded, {}};
     }
@@ -203,11 +202,9 @@
         return gate_start{};
     }
     auto const start = own.expected_start(request, now);
-    auto const limit = std::min(request.finish_by, request.deadline);
-    auto const least =
-        std::min(needed, implementation::part_of(request.deadline - now, certain_part_of_time));
-    bool const is_hopeless =
-        request.finish_by < request.deadline ? start + needed > limit : start + least > limit;
+    bool const is_hopeless = request.finish_by < request.deadline
+                                 ? start + own.likely_time(request.route) > request.finish_by
+                                 : start + own.least_time(request, now) > request.deadline;
     if (is_hopeless || own.queue.size() >= longest_queue) {
         return implementation::overloaded(start - now);
     }
@@ -233,37 +230,27 @@
 
 gate_queue::departures gate_queue::dispatch(boot_time now) {
     auto& own = *this->self;
+    if (own.slots == 0) {
+        return this->refuse_all(result_code::request_no_endpoint);
+    }
     departures leaving;
-    std::ranges::sort(own.queue, [&](gate_request const& first, gate_request const& second) {
-        bool const first_is_late = own.is_late(first, now);
-        bool const second_is_late = own.is_late(second, now);
-        return first_is_late != second_is_late
-                   ? second_is_late
-                   : implementation::urgency(first) < implementation::urgency(second);
-    });
-    auto times = own.slots == 0 ? implementation::slot_times{} : own.free_slots(now);
+    std::ranges::sort(own.queue, {},
+                      [&](gate_request const& waiting) { return own.rank(waiting, now); });
+    auto times = own.free_slots(now);
     std::vector<gate_request> staying;
     for (auto& waiting : own.queue) {
-        if (own.slots == 0) {
-            leaving.refused.emplace_back(
-                waiting.id, gate_refusal{result_code::request_no_endpoint, shortest_retry_after});
-            continue;
-        }
         auto const start = times.top();
         if (own.may_outlast_stop(waiting, start)) {
             leaving.refused.emplace_back(
                 waiting.id, gate_refusal{result_code::request_draining, shortest_retry_after});
             continue;
         }
-        auto const least =
-            std::min(own.likely_time(waiting.route),
-                     implementation::part_of(waiting.deadline - now, certain_part_of_time));
-        if (now >= waiting.deadline || start + least > waiting.deadline) {
+        bool const is_hopeless = start + own.least_time(waiting, now) > waiting.deadline;
+        if (now >= waiting.deadline || is_hopeless) {
             leaving.refused.emplace_back(waiting.id, implementation::overloaded(start - now));
             continue;
         }
-        times.pop();
-        times.push(start + own.mean_time(waiting.route));
+        own.occupy_first(times, waiting);
         if (own.running.size() < own.slots) {
             own.start(waiting, now);
             leaving.started.push_back(waiting.id);
@@ -294,9 +281,7 @@
     if (own.slots > 0 && own.running.size() >= own.slots) {
         auto times = own.free_slots(now);
         for (auto const& waiting : own.queue) {
-            auto const start = times.top();
-            times.pop();
-            times.push(start + own.mean_time(waiting.route));
+            own.occupy_first(times, waiting);
         }
         current.wait = to_milliseconds(std::max(now, times.top()) - now);
     }
