node: stay until callers of a stopping node have gone quiet

Cause: a stopping peridot-node ended as soon as no handler was running, looked at every 50 ms.

Change: drain_watch decides when the stop is over, from requests whose answers are not written, and asks for 500 ms without any; connections end with their next answer, idle ones are closed before the threads end.

--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -20,6 +20,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <deque>
 #include <optional>
@@ -405,7 +406,8 @@
     handler respond;
     http_limits limits;
     std::unordered_set<connection*> connections;
-    std::size_t in_flight = 0;
+    /// Written by the server's thread, read by any.
+    std::atomic<std::size_t> in_flight{0};
     bool is_stopping = false;
 };
 
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -51,7 +51,7 @@
     /// Puts other bounds in force for all connections, from their next request on.
     void set_limits(http_limits const& limits);
 
-    /// Requests whose answers are not written yet.
+    /// Requests whose answers are not written yet; safe from any thread.
     std::size_t requests_in_flight() const;
 
 private:
--- a/libraries/node/node.cpp
+++ b/libraries/node/node.cpp
@@ -12,6 +12,7 @@
 #include "membership/membership_agent.h"
 #include "node/admin_service.h"
 #include "node/attachment_kinds.h"
+#include "node/drain_watch.h"
 #include "node/limit_agent.h"
 #include "node/member_exchange.h"
 #include "node/member_registration.h"
@@ -48,9 +49,9 @@
 
 namespace asio = boost::asio;
 
-// Time in which the other nodes learn that this one is leaving; it still answers and refuses.
-constexpr milliseconds leave_notice{2000};
 constexpr milliseconds drain_poll{50};
+// Time to close connections before the threads end.
+constexpr milliseconds closing_time{50};
 constexpr milliseconds tick_period{100};
 constexpr std::size_t spans_per_worker = 1024;
 constexpr std::size_t kept_decisions = 1000;
@@ -305,17 +306,23 @@
         log::write(log::level::info, "node_draining", {});
         this->state.is_draining = true;
         this->members->set_state(member_state::draining);
-        auto const started = std::chrono::steady_clock::now();
+        for (auto const& worker : this->workers) {
+            worker->end_connections();
+        }
+        drain_watch::times times;
+        times.longest = this->settings.drain_time;
+        drain_watch watch(times, std::chrono::steady_clock::now());
         asio::steady_timer timer(this->context);
-        for (;;) {
-            auto const elapsed = std::chrono::steady_clock::now() - started;
-            bool const is_idle = this->requests_in_flight() == 0;
-            if ((elapsed >= leave_notice && is_idle) || elapsed >= this->settings.drain_time) {
-                break;
-            }
+        while (!watch.is_over(std::chrono::steady_clock::now())) {
             timer.expires_after(drain_poll);
             co_await timer.async_wait(asio::use_awaitable);
+            watch.record(this->requests_in_flight(), std::chrono::steady_clock::now());
+        }
+        for (auto const& worker : this->workers) {
+            worker->close_connections();
         }
+        timer.expires_after(closing_time);
+        co_await timer.async_wait(asio::use_awaitable);
         log::write(log::level::info, "node_stopped",
                    {{"in_flight", static_cast<std::int64_t>(this->requests_in_flight())}});
         this->members->set_state(member_state::left);
--- a/libraries/node/node_worker.cpp
+++ b/libraries/node/node_worker.cpp
@@ -16,8 +16,8 @@
 #include "proxy/worker_context.h"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
 
-#include <atomic>
 #include <thread>
 
 namespace peridot {
@@ -44,24 +44,7 @@
             return this->serve_peer(std::move(request));
         }) {}
 
-    // Counts a request for as long as its handler runs.
-    class request_count {
-    public:
-        explicit request_count(std::atomic<std::size_t>& total) : total(total) {
-            this->total.fetch_add(1, std::memory_order_relaxed);
-        }
-        ~request_count() { this->total.fetch_sub(1, std::memory_order_relaxed); }
-        request_count(request_count const&) = delete;
-        request_count& operator=(request_count const&) = delete;
-        request_count(request_count&&) = delete;
-        request_count& operator=(request_count&&) = delete;
-
-    private:
-        std::atomic<std::size_t>& total;
-    };
-
     asio::awaitable<http_response> serve_call(http_request request) {
-        request_count const count(this->in_flight);
         // A worker may run before the control thread notices that the process was frozen.
         if (this->distribution.is_stalled(std::chrono::steady_clock::now())) {
             error const reason{result_code::request_not_ready, "the node was frozen"};
@@ -74,7 +57,6 @@
         if (peer_service::handles(request.target)) {
             co_return co_await this->peers.respond(std::move(request));
         }
-        request_count const count(this->in_flight);
         co_return co_await this->exit.respond(std::move(request));
     }
 
@@ -89,7 +71,6 @@
     target_proxy exit;
     http_server call_server;
     http_server peer_server;
-    std::atomic<std::size_t> in_flight{0};
     std::thread thread;
 };
 
@@ -112,6 +93,22 @@
     this->self->thread = std::thread([this] { this->self->context.run(); });
 }
 
+void node_worker::end_connections() {
+    asio::post(this->self->context, [worker = this->self.get()] {
+        worker->call_server.end_connections();
+        worker->peer_server.end_connections();
+    });
+}
+
+void node_worker::close_connections() {
+    asio::post(this->self->context, [worker = this->self.get()] {
+        for (auto* server : {&worker->call_server, &worker->peer_server}) {
+            server->stop_accepting();
+            server->close_idle();
+        }
+    });
+}
+
 void node_worker::stop() {
     this->self->context.stop();
     if (this->self->thread.joinable()) {
@@ -120,7 +117,8 @@
 }
 
 std::size_t node_worker::requests_in_flight() const {
-    return this->self->in_flight.load(std::memory_order_relaxed);
+    return this->self->call_server.requests_in_flight() +
+           this->self->peer_server.requests_in_flight();
 }
 
 } // namespace peridot
--- a/libraries/node/node_worker.h
+++ b/libraries/node/node_worker.h
@@ -27,6 +27,10 @@
     result<socket_address> listen_for_peers(socket_address const& address);
 
     void start();
+    /// Ends each connection with its next answer; new connections are still taken.
+    void end_connections();
+    /// Takes no new connections and closes the idle ones.
+    void close_connections();
     /// Ends the thread; requests that are still in flight are dropped.
     void stop();
 
