mesh: prefer faster targets, and learn of failures from their gates

Each of 65 nodes had to see for itself that a target fails: two targets got 465 requests in 4 s that failed.

Change: an answer between nodes tells the target's mean time for the route and its share of failures. A tenth of the time by which a target is slower than the fastest of its zone counts as wait, more as its slots fill up. Quick failures teach no time. A caller that leaves is no failure of the target.

--- /dev/null
+++ b/libraries/mesh/failure_share.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/boot_clock.h"
+
+#include <cstdint>
+
+namespace peridot {
+
+/// Share of failures among the latest answers of a target. What is known counts for half after a
+/// few seconds without an answer: a target that is left alone would never be seen to have
+/// recovered.
+class failure_share {
+public:
+    enum class ending : std::uint8_t { succeeded, failed };
+
+    void observe(ending how, boot_time now);
+    /// Takes over what another node knows.
+    void set(double share, boot_time now);
+
+    /// From 0 to 1.
+    double at(boot_time now) const;
+
+private:
+    double share = 0;
+    boot_time seen;
+};
+
+} // namespace peridot
--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -212,13 +212,16 @@
     return gate_wait{};
 }
 
-void gate_queue::finish(std::uint64_t id, bool is_answered, boot_time now) {
+void gate_queue::finish(std::uint64_t id, ending how, boot_time now) {
     auto const found = this->self->running.find(id);
     if (found == this->self->running.end()) {
         return;
     }
-    if (is_answered) {
-        this->self->learn(found->second.route, now - found->second.started);
+    auto const& [route, started] = found->second;
+    auto const taken = now - started;
+    bool const is_long = how == ending::failed && taken > this->self->mean_time(route);
+    if (how == ending::succeeded || is_long) {
+        this->self->learn(route, taken);
     }
     this->self->running.erase(found);
 }
@@ -271,13 +274,13 @@
     return leaving;
 }
 
-gate_load gate_queue::load(boot_time now) const {
+gate_load gate_queue::load(std::string const& route, boot_time now) const {
     auto const& own = *this->self;
     gate_load current;
     current.in_use = static_cast<unsigned>(own.running.size());
     current.waiting = static_cast<unsigned>(own.queue.size());
     current.slots = own.slots;
-    current.service_time = to_milliseconds(own.overall_time);
+    current.service_time = to_milliseconds(own.mean_time(route));
     if (own.slots > 0 && own.running.size() >= own.slots) {
         auto times = own.free_slots(now);
         for (auto const& waiting : own.queue) {
@@ -288,8 +291,4 @@
     return current;
 }
 
-milliseconds gate_queue::service_time(std::string const& route) const {
-    return to_milliseconds(this->self->mean_time(route));
-}
-
 } // namespace peridot
--- a/libraries/mesh/gate_queue.h
+++ b/libraries/mesh/gate_queue.h
@@ -41,9 +41,12 @@
     /// Decides on a new request. gate_start takes a slot.
     gate_decision offer(gate_request request, boot_time now);
 
-    /// Gives back the slot of a request. A request that was answered tells how long its route
-    /// takes.
-    void finish(std::uint64_t id, bool is_answered, boot_time now);
+    /// How the time of a request at the target ended.
+    enum class ending : std::uint8_t { succeeded, failed, unanswered };
+
+    /// Gives back the slot of a request. Requests that succeeded tell how long their route takes,
+    /// and so do failures that took longer: a target that fails at once is not a fast one.
+    void finish(std::uint64_t id, ending how, boot_time now);
 
     /// Forgets a waiting request whose caller has left.
     void withdraw(std::uint64_t id);
@@ -58,10 +61,8 @@
     /// Refuses every waiting request, as when the target leaves.
     departures refuse_all(result_code reason);
 
-    gate_load load(boot_time now) const;
-
-    /// Mean time that the target takes for a request of the route.
-    milliseconds service_time(std::string const& route) const;
+    /// The load as it matters for a request of the route.
+    gate_load load(std::string const& route, boot_time now) const;
 
 private:
     class implementation;
--- a/libraries/mesh/target_selector.cpp
+++ b/libraries/mesh/target_selector.cpp
@@ -1,5 +1,7 @@
 #include "mesh/target_selector.h"
 
+#include "mesh/failure_share.h"
+
 #include <algorithm>
 #include <cmath>
 #include <unordered_map>
@@ -19,12 +21,18 @@
 constexpr milliseconds distance_penalty{400};
 // A member whose answers are all failures counts as if it had this wait.
 constexpr milliseconds failure_penalty{2000};
-constexpr double failure_weight = 0.15;
 // Up to this share of failures a member is as good as any other, so that single ones move no load.
 constexpr double tolerated_failures = 0.25;
-// What is known of failures counts for half after this time without a request. A member that is
-// left alone would never be seen to have recovered.
-constexpr std::chrono::duration<double> failure_half_life{8.0};
+// A slower target counts as if it had this part of the difference to the fastest one of its zone as
+// its wait. A free slot of a slow target is better than a wait at a fast one: in a burst, capacity
+// that is left idle at first is missed until the end.
+constexpr double slowness_weight = 0.1;
+// What a target is slower than the fastest one counts for half after this time without a request to
+// it: one that was slow, as after its start, would never be seen to have become faster.
+constexpr std::chrono::duration<double> slowness_half_life{8.0};
+// A target with more than this part of its slots in use counts as slower, up to twice its time when
+// all are: filled to the last slot, fast targets slow down and leave no room for a burst.
+constexpr double uncrowded_part = 0.6;
 // Spread of the random part that keeps nodes with equal knowledge from choosing alike.
 constexpr milliseconds jitter{5};
 
@@ -39,13 +47,21 @@
         boot_time paused_until;
         boot_time busy_until;
         milliseconds pause{0};
-        /// Share of failures among the answers, as of the time of the last one.
-        double failures = 0;
-        boot_time failures_seen;
-
-        double failures_at(boot_time now) const {
-            std::chrono::duration<double> const age = now - this->failures_seen;
-            return this->failures * std::exp2(-age / failure_half_life);
+        failure_share failures;
+        /// Time of the target for requests of each route, and when it was told.
+        struct route_time {
+            milliseconds mean{0};
+            boot_time seen;
+        };
+        std::unordered_map<std::string, route_time> route_times;
+
+        // How full the target is beyond the part that does no harm, from 0 to 1.
+        double crowding() const {
+            if (this->load.slots == 0) {
+                return 0;
+            }
+            double const used = static_cast<double>(this->load.in_use) / this->load.slots;
+            return std::clamp((used - uncrowded_part) / (1 - uncrowded_part), 0.0, 1.0);
         }
     };
 
@@ -62,13 +78,55 @@
         return wait;
     }
 
-    nanoseconds cost(member const& candidate, boot_time now, random_source& random) {
+    bool is_near(member const& candidate) const {
+        return candidate.availability_zone == this->availability_zone;
+    }
+
+    // The time to expect of the target for a request of the route; no value while it is not known.
+    static std::optional<nanoseconds> route_time(member_state const& state,
+                                                 std::string const& route) {
+        auto const found = state.route_times.find(route);
+        if (found == state.route_times.end()) {
+            return std::nullopt;
+        }
+        std::chrono::duration<double, std::nano> const time = found->second.mean;
+        return std::chrono::duration_cast<nanoseconds>(time * (1 + state.crowding()));
+    }
+
+    // The shortest time that a target of the own zone, or of the other ones, is known to take.
+    nanoseconds fastest(std::vector<member const*> const& candidates, std::string const& route,
+                        bool in_own_zone) {
+        auto least = nanoseconds::max();
+        for (auto const* candidate : candidates) {
+            if (this->is_near(*candidate) == in_own_zone) {
+                auto const time = route_time(this->states[candidate->instance], route);
+                least = std::min(least, time.value_or(nanoseconds::max()));
+            }
+        }
+        return least;
+    }
+
+    // By how much the target is slower than the fastest one; one that is not known yet is not.
+    static nanoseconds slowness(member_state const& state, std::string const& route,
+                                nanoseconds fastest, boot_time now) {
+        auto const time = route_time(state, route);
+        if (!time) {
+            return nanoseconds(0);
+        }
+        std::chrono::duration<double> const age = now - state.route_times.at(route).seen;
+        std::chrono::duration<double> const excess = *time - fastest;
+        auto const remaining = excess * std::exp2(-age / slowness_half_life);
+        return std::chrono::duration_cast<nanoseconds>(remaining * slowness_weight);
+    }
+
+    nanoseconds cost(member const& candidate, nanoseconds slowness, boot_time now,
+                     random_source& random) {
         auto& state = this->states[candidate.instance];
-        auto cost = this->expected_wait(state, candidate.target.slots, now);
-        if (candidate.availability_zone != this->availability_zone) {
+        auto cost = this->expected_wait(state, candidate.target.slots, now) + slowness;
+        if (!this->is_near(candidate)) {
             cost += distance_penalty;
         }
-        auto const failures = state.failures_at(now);
+        auto const failures = state.failures.at(now);
         if (failures > tolerated_failures) {
             cost += nanoseconds(static_cast<std::int64_t>(
                 (failures - tolerated_failures) *
@@ -90,6 +148,7 @@
 target_selector::~target_selector() = default;
 
 std::optional<target_choice> target_selector::choose(std::vector<member const*> const& candidates,
+                                                     std::string const& route,
                                                      attempts const& so_far, boot_time now,
                                                      random_source& random) {
     struct option {
@@ -100,6 +159,9 @@
     std::vector<option> options;
     member const* last_resort = nullptr;
     boot_time earliest = boot_time::max();
+    // Compared within the own zone and among the others, speed is no reason to leave a zone.
+    auto const fastest_near = this->self->fastest(candidates, route, true);
+    auto const fastest_far = this->self->fastest(candidates, route, false);
     for (auto const* candidate : candidates) {
         if (so_far.excluded.contains(candidate->instance)) {
             continue;
@@ -113,7 +175,10 @@
             continue;
         }
         bool const is_busy = so_far.busy.contains(candidate->instance) || state.busy_until > now;
-        options.push_back({candidate, this->self->cost(*candidate, now, random), is_busy});
+        auto const fastest = this->self->is_near(*candidate) ? fastest_near : fastest_far;
+        auto const slowness = implementation::slowness(state, route, fastest, now);
+        options.push_back(
+            {candidate, this->self->cost(*candidate, slowness, now, random), is_busy});
     }
     std::ranges::sort(options, {}, &option::cost);
     for (auto const& [candidate, cost, is_busy] : options) {
@@ -140,19 +205,14 @@
 
 void target_selector::observe(std::string const& instance, target_observation seen, boot_time now) {
     auto& state = this->self->states[instance];
-    auto const learn = [&state, now](double failure) {
-        auto const known = state.failures_at(now);
-        state.failures = known + failure_weight * (failure - known);
-        state.failures_seen = now;
-    };
     switch (seen) {
     case target_observation::succeeded:
-        learn(0);
+        state.failures.observe(failure_share::ending::succeeded, now);
         state.pause = milliseconds(0);
         state.paused_until = {};
         break;
     case target_observation::failed:
-        learn(1);
+        state.failures.observe(failure_share::ending::failed, now);
         state.pause = milliseconds(0);
         break;
     case target_observation::busy:
@@ -169,11 +229,15 @@
     }
 }
 
-void target_selector::observe_load(std::string const& instance, gate_load const& load,
-                                   boot_time now) {
+void target_selector::observe_load(std::string const& instance, std::string const& route,
+                                   gate_load const& load, boot_time now) {
     auto& state = this->self->states[instance];
     state.load = load;
     state.load_seen = now;
+    state.failures.set(load.failures, now);
+    if (load.service_time.count() > 0) {
+        state.route_times[route] = {load.service_time, now};
+    }
 }
 
 } // namespace peridot
--- a/libraries/mesh/target_selector.h
+++ b/libraries/mesh/target_selector.h
@@ -17,11 +17,13 @@
 
 /// Chooses the member that a request is tried at next, from what this node has seen of each.
 ///
-/// It answers load that is uneven over availability zones and targets that fail or slow down one by
-/// one. The own availability zone comes first, since bytes between zones cost time and money, and a
-/// member elsewhere is tried when those near by are known or found to be unable to answer in time.
-/// Members are first asked for an answer in time; only when none can give it, the one with the
-/// shortest wait is asked for an answer by the deadline.
+/// It answers load that is uneven over availability zones, targets that differ in speed, and
+/// targets that fail or slow down one by one. The own availability zone comes first, since bytes
+/// between zones cost time and money, and a member elsewhere is tried when those near by are known
+/// or found to be unable to answer in time. Within a zone the member that is expected to answer
+/// first is chosen: its wait and the time that its target takes count alike. Members are first
+/// asked for an answer in time; only when none can give it, the one with the shortest wait is asked
+/// for an answer by the deadline.
 ///
 /// One thread uses it; the time and the random source are arguments.
 class target_selector {
@@ -43,16 +45,18 @@
 
     /// The next member to try among the given ones; no value when none is left.
     std::optional<target_choice> choose(std::vector<member const*> const& candidates,
-                                        attempts const& so_far, boot_time now,
-                                        random_source& random);
+                                        std::string const& route, attempts const& so_far,
+                                        boot_time now, random_source& random);
 
     /// Counts a request on its way to the member.
     void start(std::string const& instance);
     void finish(std::string const& instance);
 
-    /// Learns from an attempt; wait is the member's own expectation where it gave one.
+    /// Learns from an attempt.
     void observe(std::string const& instance, target_observation seen, boot_time now);
-    void observe_load(std::string const& instance, gate_load const& load, boot_time now);
+    /// Takes note of what a member tells of its load and of its time for requests of the route.
+    void observe_load(std::string const& instance, std::string const& route, gate_load const& load,
+                      boot_time now);
 
 private:
     class implementation;
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -221,8 +221,9 @@
             routed.version = this->share_choices.choose_version(routed.service, shares);
         }
         for (auto const& version : versions_to_try(routed.version, shares, current)) {
-            auto choice = this->selector.choose(members_in_use(found->second, version, current),
-                                                routed.attempts, now, this->random);
+            auto choice =
+                this->selector.choose(members_in_use(found->second, version, current),
+                                      routed.call.route, routed.attempts, now, this->random);
             if (choice) {
                 return choice;
             }
@@ -233,7 +234,10 @@
     asio::awaitable<gate_answer> offer(member const& chosen, routed_call const& routed) {
         in_flight_count const counted(this->selector, chosen.instance);
         if (chosen.instance == this->identity.instance) {
-            co_return co_await this->gate.run(routed.call, routed.request);
+            auto own = co_await this->gate.run(routed.call, routed.request);
+            this->selector.observe_load(chosen.instance, routed.call.route,
+                                        this->gate.load(routed.call.route), boot_clock::now());
+            co_return own;
         }
         http_request request = routed.request;
         write_hop_call(request, routed.call, boot_clock::now());
@@ -253,7 +257,8 @@
         }
         auto answer = take_hop_answer(std::move(std::get<http_response>(outcome)));
         if (answer.state) {
-            this->selector.observe_load(chosen.instance, answer.state->load, boot_clock::now());
+            this->selector.observe_load(chosen.instance, routed.call.route, answer.state->load,
+                                        boot_clock::now());
             if (answer.state->configuration > routed.configuration->version()) {
                 this->notice_newer(chosen.ip, answer.state->configuration);
             }
--- a/libraries/sidecar/hop_message.cpp
+++ b/libraries/sidecar/hop_message.cpp
@@ -5,6 +5,7 @@
 #include <boost/url/rfc/unreserved_chars.hpp>
 
 #include <charconv>
+#include <cmath>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,7 +18,8 @@
 constexpr std::string_view call_field = "Peridot-Call";
 constexpr std::string_view state_field = "Peridot-State";
 constexpr std::size_t call_parts = 10;
-constexpr std::size_t state_parts = 9;
+constexpr std::size_t state_parts = 10;
+constexpr double percent = 100;
 constexpr std::uint64_t longest_milliseconds = 86'400'000;
 constexpr unsigned status_refused = 503;
 constexpr unsigned status_unknown = 502;
@@ -153,7 +155,8 @@
           static_cast<std::uint64_t>(parts.retry_after.count()), std::uint64_t{load.in_use},
           std::uint64_t{load.waiting}, std::uint64_t{load.slots},
           static_cast<std::uint64_t>(load.wait.count()),
-          static_cast<std::uint64_t>(load.service_time.count()), state.configuration}) {
+          static_cast<std::uint64_t>(load.service_time.count()),
+          static_cast<std::uint64_t>(std::lround(load.failures * percent)), state.configuration}) {
         text += ";" + std::to_string(figure);
     }
     parts.message.headers.set(state_field, text);
@@ -177,8 +180,8 @@
     hop_state state;
     state.load = {static_cast<unsigned>(figures[3]), static_cast<unsigned>(figures[4]),
                   static_cast<unsigned>(figures[5]), milliseconds(figures[6]),
-                  milliseconds(figures[7])};
-    state.configuration = figures[8];
+                  milliseconds(figures[7]),          static_cast<double>(figures[8]) / percent};
+    state.configuration = figures[9];
     auto const code = static_cast<result_code>(figures[1]);
     switch (static_cast<outcome>(figures[0])) {
     case outcome::ran:
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -191,16 +191,17 @@
         }
         if (this->refuses_requests) {
             co_return write_hop_answer(gate_refusal{result_code::request_draining, {}},
-                                       this->hop_state_now());
+                                       this->hop_state_for(call->route));
         }
+        std::string const route = call->route;
         auto answer = co_await this->gate.run(std::move(*call), std::move(request));
-        co_return write_hop_answer(std::move(answer), this->hop_state_now());
+        co_return write_hop_answer(std::move(answer), this->hop_state_for(route));
     }
 
-    hop_state hop_state_now() const {
+    hop_state hop_state_for(std::string const& route) const {
         auto const view = this->views.load();
         bool const has_configuration = view && view->configuration;
-        return {this->gate.load(), has_configuration ? view->configuration->version() : 0};
+        return {this->gate.load(route), has_configuration ? view->configuration->version() : 0};
     }
 
     asio::awaitable<http_response> respond_ready(http_request request) {
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "http/connection_pool.h"
+#include "mesh/failure_share.h"
 #include "mesh/gate_queue.h"
 #include "observability/counter.h"
 #include "observability/gauge.h"
@@ -12,6 +13,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -34,12 +36,12 @@
 class target_gate::implementation {
 public:
     implementation(asio::io_context& io, connection_pool& pool, socket_address target_address,
-                   sidecar_metrics& measured, result_function report_result)
+                   sidecar_metrics& measured, result_function on_result)
         : context(io)
         , connections(pool)
         , address(std::move(target_address))
         , metrics(measured)
-        , report(std::move(report_result)) {}
+        , report_result(std::move(on_result)) {}
 
     // A request that waits for a slot, and the decision once there is one.
     struct waiter {
@@ -56,7 +58,7 @@
             auto const now = boot_clock::now();
             // A slot may have been given between the decision and the cancellation of the request,
             // so both are given back whatever this request knows.
-            this->gate.queue.finish(this->number, this->is_answered, now);
+            this->gate.queue.finish(this->number, this->ended, now);
             this->gate.queue.withdraw(this->number);
             this->gate.waiters.erase(this->number);
             this->gate.dispatch(now);
@@ -66,7 +68,7 @@
         place(place&&) = delete;
         place& operator=(place&&) = delete;
 
-        bool is_answered = false;
+        gate_queue::ending ended = gate_queue::ending::unanswered;
 
     private:
         implementation& gate;
@@ -110,6 +112,9 @@
     }
 
     void set_target(std::optional<target_record> const& next) {
+        if (!next || !this->target || next->id != this->target->id) {
+            this->failures = {};
+        }
         this->target = next;
         bool const takes_work =
             next && next->state == target_state::ready && next->version != this->withheld;
@@ -130,8 +135,10 @@
         this->dispatch(boot_clock::now());
     }
 
-    gate_load load() const {
-        auto const current = this->queue.load(boot_clock::now());
+    gate_load load(std::string const& route) const {
+        auto const now = boot_clock::now();
+        auto current = this->queue.load(route, now);
+        current.failures = this->failures.at(now);
         this->metrics.gate_in_use.set(current.in_use);
         this->metrics.gate_waiting.set(current.waiting);
         return current;
@@ -184,7 +191,7 @@
         auto const found = this->waiters.find(number);
         if (found == this->waiters.end()) {
             // The request left between the decision and now; its slot goes to the next one.
-            this->queue.finish(number, false, boot_clock::now());
+            this->queue.finish(number, gate_queue::ending::unanswered, boot_clock::now());
             return;
         }
         found->second->decision = decision;
@@ -193,7 +200,7 @@
 
     asio::awaitable<gate_answer> pass_on(gate_call const& call, http_request request, place& held) {
         auto const started = boot_clock::now();
-        auto const current = this->queue.load(started);
+        auto const current = this->queue.load(call.route, started);
         log::write(log::level::debug, "request_passed_on",
                    {{"request", call.attempt_id},
                     {"route", call.route},
@@ -224,8 +231,12 @@
             if (failed->progress == exchange_progress::not_sent) {
                 co_return gate_refusal{result_code::request_connect_failed, {}};
             }
-            seen.is_failure = true;
-            this->report(seen);
+            // A caller that leaves ends the exchange; that says nothing about the target.
+            auto const ended = co_await asio::this_coro::cancellation_state;
+            if (ended.cancelled() == asio::cancellation_type::none) {
+                seen.is_failure = true;
+                this->report(seen);
+            }
             this->log_unknown(call, failed->reason);
             co_return gate_unknown{failed->reason};
         }
@@ -244,15 +255,22 @@
         case answer_proof::ran:
             break;
         }
-        held.is_answered = true;
         seen.is_failure = answer.status >= first_failure_status;
+        held.ended = seen.is_failure ? gate_queue::ending::failed : gate_queue::ending::succeeded;
         this->report(seen);
         co_return gate_ran{std::move(answer)};
     }
 
+    void report(target_result const& seen) {
+        this->failures.observe(seen.is_failure ? failure_share::ending::failed
+                                               : failure_share::ending::succeeded,
+                               boot_clock::now());
+        this->report_result(seen);
+    }
+
     void log_refusal(gate_call const& call, gate_refusal const& refused) {
         this->metrics.gate_refusals.add();
-        auto const current = this->load();
+        auto const current = this->load(call.route);
         auto const left = [now = boot_clock::now()](boot_time at) {
             return std::chrono::duration_cast<milliseconds>(at - now).count();
         };
@@ -265,7 +283,7 @@
                     {"waiting", static_cast<std::int64_t>(current.waiting)},
                     {"slots", static_cast<std::int64_t>(current.slots)},
                     {"expected_wait_ms", current.wait.count()},
-                    {"service_time_ms", this->queue.service_time(call.route).count()},
+                    {"service_time_ms", current.service_time.count()},
                     {"finish_by_ms", left(call.finish_by)},
                     {"deadline_ms", left(call.deadline)},
                     {"retry_after_ms", refused.retry_after.count()}});
@@ -283,7 +301,8 @@
     connection_pool& connections;
     socket_address address;
     sidecar_metrics& metrics;
-    result_function report;
+    result_function report_result;
+    failure_share failures;
     std::optional<target_record> target;
     std::string withheld;
     gate_queue queue;
@@ -315,8 +334,8 @@
     this->self->set_stop_time(at);
 }
 
-gate_load target_gate::load() const {
-    return this->self->load();
+gate_load target_gate::load(std::string const& route) const {
+    return this->self->load(route);
 }
 
 } // namespace peridot
--- a/libraries/sidecar/target_gate.h
+++ b/libraries/sidecar/target_gate.h
@@ -52,7 +52,7 @@
     /// The node stops then; requests that may not have ended by then are refused.
     void set_stop_time(boot_time at);
 
-    gate_load load() const;
+    gate_load load(std::string const& route) const;
 
 private:
     class implementation;
--- a/tests/mesh/gate_queue_test.cpp
+++ b/tests/mesh/gate_queue_test.cpp
@@ -41,7 +41,7 @@
         for (int round = 0; round < 40; ++round) {
             auto const id = ++this->next_id;
             this->queue.offer(request(id, route, now, seconds(100), seconds(100)), now);
-            this->queue.finish(id, true, now + time);
+            this->queue.finish(id, gate_queue::ending::succeeded, now + time);
         }
     }
 };
@@ -54,7 +54,7 @@
     CHECK(is_started(queue.offer(request(2, "a", begin, seconds(1), seconds(2)), begin)));
     CHECK(is_waiting(queue.offer(request(3, "a", begin, seconds(1), seconds(2)), begin)));
     CHECK(queue.dispatch(begin).started.empty());
-    queue.finish(1, true, begin + milliseconds(100));
+    queue.finish(1, gate_queue::ending::succeeded, begin + milliseconds(100));
     auto const leaving = queue.dispatch(begin + milliseconds(100));
     LONGS_EQUAL(1, leaving.started.size());
     LONGS_EQUAL(3, leaving.started.front());
@@ -106,7 +106,7 @@
     std::uint64_t running = 1001;
     for (int step = 1; step <= 3; ++step) {
         auto const now = begin + milliseconds(100) * step;
-        queue.finish(running, true, now);
+        queue.finish(running, gate_queue::ending::succeeded, now);
         auto const leaving = queue.dispatch(now);
         LONGS_EQUAL(1, leaving.started.size());
         running = leaving.started.front();
@@ -122,7 +122,7 @@
     CHECK(is_started(queue.offer(request(1, "a", begin, seconds(1), seconds(2)), begin)));
     CHECK(is_waiting(queue.offer(request(2, "a", begin, seconds(1), seconds(2)), begin)));
     auto const later = begin + seconds(10);
-    queue.finish(1, true, later);
+    queue.finish(1, gate_queue::ending::succeeded, later);
     auto const leaving = queue.dispatch(later);
     CHECK(leaving.started.empty());
     LONGS_EQUAL(1, leaving.refused.size());
@@ -178,7 +178,7 @@
             if (done.end > now) {
                 return false;
             }
-            queue.finish(done.id, true, now);
+            queue.finish(done.id, gate_queue::ending::succeeded, now);
             ++answered;
             in_time += now - done.arrived <= target ? 1 : 0;
             return true;
@@ -233,8 +233,27 @@
     for (std::uint64_t id = 1000; id < 1010; ++id) {
         queue.offer(request(id, "old", begin, milliseconds(600), milliseconds(2000)), begin);
     }
-    auto const expected = queue.load(begin).wait;
+    auto const expected = queue.load("lookup", begin).wait;
     CHECK(expected >= milliseconds(800));
     auto const deadline = expected + milliseconds(130);
     CHECK(is_waiting(queue.offer(request(1, "new", begin, deadline, deadline), begin)));
 }
+
+// Guards against a target that fails at once and is taken for a fast one, so that more requests go
+// to it (kcg-mesh-grown scale-2: twice as many failed answers while some targets fail in part).
+TEST(gate_queue, quick_failures_do_not_make_a_route_fast) {
+    queue.set_slots(12);
+    teach("old", milliseconds(200), begin);
+    auto const expected = queue.load("old", begin).service_time;
+    for (std::uint64_t id = 1; id <= 50; ++id) {
+        queue.offer(request(id, "old", begin, seconds(2), seconds(2)), begin);
+        queue.finish(id, gate_queue::ending::failed, begin + milliseconds(1));
+    }
+    CHECK(queue.load("old", begin).service_time == expected);
+    // A target that needs longer than its callers wait fails by its own timeout.
+    for (std::uint64_t id = 100; id < 120; ++id) {
+        queue.offer(request(id, "old", begin, seconds(2), seconds(2)), begin);
+        queue.finish(id, gate_queue::ending::failed, begin + milliseconds(1500));
+    }
+    CHECK(queue.load("old", begin).service_time > 2 * expected);
+}
