tests: add a fault soak of the sidecar

peridot-soak runs a fleet of sidecars as separate processes, with callers that keep their connections, targets and a store, through a seeded schedule: nodes killed, stopped, frozen and reloaded, the store out, slow or losing answers, links to the store and between nodes delayed, reset or silent in one direction, targets that fail, slow down, lose answers, leave or are replaced, and new configurations. Faults come in series, overlap and hit half of the fleet at a time. It checks that no payment runs twice, that "not run" is true, that answers belong to their requests, that no node goes back to an older configuration, that a target that has left gets nothing, that no request is cut without its node being killed or frozen, that no process ends by itself, and that all is served again within 15 s.

The fleet's classes move to tests/processes/mesh_support.

--- a/tests/processes/mesh_support/mesh_target.cpp
+++ b/tests/processes/mesh_support/mesh_target.cpp
@@ -1,4 +1,4 @@
-#include "processes/sidecar/mesh_target.h"
+#include "processes/mesh_support/mesh_target.h"
 
 #include "http/http_server.h"
 #include "processes/support/http_caller.h"
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <stdexcept>
 #include <thread>
 
 namespace peridot::processes {
@@ -69,9 +70,13 @@
         }
         asio::steady_timer work(this->context, this->work_time.load());
         co_await work.async_wait(asio::use_awaitable);
+        if (this->lost_answers > 0) {
+            --this->lost_answers;
+            throw std::runtime_error("the answer is lost");
+        }
         answer.headers.set("X-Server-Seal", "seal-of-" + this->id);
         answer.status = this->is_failing ? 500 : 200;
-        answer.body = "done by " + this->id;
+        answer.body = attempt + " done by " + this->id;
         co_return answer;
     }
 
@@ -108,6 +113,7 @@
     std::thread thread;
     std::atomic<milliseconds> work_time{milliseconds(1)};
     std::atomic<bool> is_failing{false};
+    std::atomic<int> lost_answers{0};
     std::atomic<bool> is_silent{false};
     mutable std::mutex lock;
     std::map<std::string, std::size_t> runs;
@@ -121,6 +127,14 @@
 
 mesh_target::~mesh_target() = default;
 
+std::string const& mesh_target::id() const {
+    return this->self->id;
+}
+
+void mesh_target::lose_answers(int count) {
+    this->self->lost_answers = count;
+}
+
 void mesh_target::set_work(milliseconds time) {
     this->self->work_time = time;
 }
@@ -158,6 +172,11 @@
     return sum;
 }
 
+std::map<std::string, std::size_t> mesh_target::runs() const {
+    std::lock_guard const guard(this->self->lock);
+    return this->self->runs;
+}
+
 std::string mesh_target::calling_service() const {
     std::lock_guard const guard(this->self->lock);
     return this->self->last_caller;
--- a/tests/processes/mesh_support/mesh_target.h
+++ b/tests/processes/mesh_support/mesh_target.h
@@ -4,6 +4,7 @@
 #include "core/time.h"
 
 #include <cstddef>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -21,7 +22,11 @@
     mesh_target(mesh_target&&) = delete;
     mesh_target& operator=(mesh_target&&) = delete;
 
+    std::string const& id() const;
+
     void set_work(milliseconds time);
+    /// Drops the connections of this many requests after running them.
+    void lose_answers(int count);
     /// Answers every request with 500.
     void set_failing(bool is_failing);
     /// Sends no more heartbeats.
@@ -32,6 +37,8 @@
     /// How often the attempt ran here, and all attempts.
     std::size_t ran(std::string const& attempt) const;
     std::size_t ran() const;
+    /// How often each attempt ran.
+    std::map<std::string, std::size_t> runs() const;
     /// The service that the last request was said to come from.
     std::string calling_service() const;
 
--- a/tests/processes/mesh_support/sidecar_fleet.cpp
+++ b/tests/processes/mesh_support/sidecar_fleet.cpp
@@ -1,13 +1,14 @@
-#include "processes/sidecar/sidecar_fleet.h"
+#include "processes/mesh_support/sidecar_fleet.h"
 
 #include "processes/support/http_caller.h"
 
-#include <CppUTest/TestHarness.h>
 #include <boost/json.hpp>
 
+#include <cerrno>
 #include <cstdlib>
 #include <fstream>
-#include <iostream>
+#include <ostream>
+#include <system_error>
 #include <unistd.h>
 
 namespace peridot::processes {
@@ -18,6 +19,8 @@
 
 constexpr int subnet_range = 200;
 constexpr int first_host = 10;
+// From an instance's address to the one that its node has behind a proxy.
+constexpr int inner_host_distance = 100;
 // Nothing listens there.
 constexpr std::uint16_t closed_port = 9;
 constexpr std::uint16_t target_port = 18'301;
@@ -36,7 +39,9 @@
 std::filesystem::path make_directory() {
     auto pattern = (std::filesystem::temp_directory_path() / "peridot-sidecar-XXXXXX").string();
     auto const* made = ::mkdtemp(pattern.data());
-    CHECK(made != nullptr);
+    if (made == nullptr) {
+        throw std::system_error(errno, std::generic_category(), "mkdtemp");
+    }
     return pattern;
 }
 
@@ -56,10 +61,6 @@
 
 sidecar_fleet::~sidecar_fleet() {
     for (auto& instance : this->instances) {
-        if (UtestShell::getCurrent()->hasFailed() && instance->node) {
-            std::cout << "--- " << instance->name << "\n"
-                      << instance->node->log() << instance->node->output() << "\n";
-        }
         instance->node.reset();
     }
     this->instances.clear();
@@ -67,45 +68,55 @@
     std::filesystem::remove_all(this->directory, ignored);
 }
 
-mesh_instance& sidecar_fleet::add(std::string const& service, std::string const& version) {
-    return this->add_with_store(service, version, to_string(this->platform->address()));
-}
-
 mesh_instance& sidecar_fleet::add_without_store(std::string const& service) {
-    return this->add_with_store(service, "v1", this->subnet + "2:" + std::to_string(closed_port));
+    instance_options options;
+    options.store = socket_address{this->subnet + "2", closed_port};
+    return this->add(service, options);
 }
 
-mesh_instance& sidecar_fleet::add_with_store(std::string const& service, std::string const& version,
-                                             std::string const& store) {
+mesh_instance& sidecar_fleet::add(std::string const& service, instance_options const& options) {
     auto instance = std::make_unique<mesh_instance>();
     auto const number = first_host + static_cast<int>(this->instances.size());
     instance->name = "instance-" + std::to_string(number);
     instance->ip = this->subnet + std::to_string(number);
+    instance->service = service;
+    instance->version = options.version;
+    if (options.is_behind_proxy) {
+        instance->inner_ip = this->subnet + std::to_string(number + inner_host_distance);
+    }
     auto const address = [&](std::uint16_t port) {
         return instance->ip + ":" + std::to_string(port);
     };
-    json::object const settings{{"instance", instance->name},
-                                {"ip", instance->ip},
-                                {"availability_zone", "ariana"},
-                                {"service", service},
-                                {"target", address(target_port)},
-                                {"calls", address(calls_port)},
-                                {"peers", address(peers_port)},
-                                {"ready", address(ready_port)},
-                                {"heartbeats", address(heartbeats_port)},
-                                {"control_port", control_port},
-                                {"seeds", this->control_addresses()},
-                                {"store", store}};
+    auto const peers =
+        options.is_behind_proxy ? proxied_peers_address(*instance) : peers_address(*instance);
+    json::object const settings{
+        {"instance", instance->name},
+        {"ip", instance->ip},
+        {"availability_zone", options.availability_zone},
+        {"service", service},
+        {"target", address(target_port)},
+        {"calls", address(calls_port)},
+        {"peers", to_string(peers)},
+        {"ready", address(ready_port)},
+        {"heartbeats", address(heartbeats_port)},
+        {"control_port", control_port},
+        {"seeds", this->control_addresses()},
+        {"store", to_string(options.store.value_or(this->platform->address()))}};
     instance->settings_file = this->directory / (instance->name + ".json");
     std::ofstream(instance->settings_file) << json::serialize(settings);
     this->start(*instance);
-    instance->target = std::make_unique<mesh_target>(
-        socket_address{instance->ip, target_port}, socket_address{instance->ip, heartbeats_port},
-        "i-" + std::to_string(number), service, version);
+    this->replace_target(*instance, "i-" + std::to_string(number));
     this->instances.push_back(std::move(instance));
     return *this->instances.back();
 }
 
+void sidecar_fleet::replace_target(mesh_instance& instance, std::string const& id) {
+    instance.target.reset();
+    instance.target = std::make_unique<mesh_target>(socket_address{instance.ip, target_port},
+                                                    socket_address{instance.ip, heartbeats_port},
+                                                    id, instance.service, instance.version);
+}
+
 json::array sidecar_fleet::control_addresses() const {
     json::array addresses;
     for (auto const& instance : this->instances) {
@@ -156,6 +167,23 @@
     return caller.call(calls_address(from), std::move(request));
 }
 
+void sidecar_fleet::print_logs(std::ostream& out) const {
+    for (auto const& instance : this->instances) {
+        if (instance->node) {
+            out << "--- " << instance->name << "\n"
+                << instance->node->log() << instance->node->output() << "\n";
+        }
+    }
+}
+
+socket_address sidecar_fleet::peers_address(mesh_instance const& instance) {
+    return {instance.ip, peers_port};
+}
+
+socket_address sidecar_fleet::proxied_peers_address(mesh_instance const& instance) {
+    return {instance.inner_ip, peers_port};
+}
+
 socket_address sidecar_fleet::calls_address(mesh_instance const& instance) {
     return {instance.ip, calls_port};
 }
--- a/tests/processes/mesh_support/sidecar_fleet.h
+++ b/tests/processes/mesh_support/sidecar_fleet.h
@@ -2,13 +2,14 @@
 
 #include "core/socket_address.h"
 #include "http/http_response.h"
-#include "processes/sidecar/mesh_target.h"
-#include "processes/sidecar/store_standin.h"
+#include "processes/mesh_support/mesh_target.h"
+#include "processes/mesh_support/store_standin.h"
 #include "processes/support/child_process.h"
 
 #include <boost/json/array.hpp>
 
 #include <filesystem>
+#include <iosfwd>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,11 +21,26 @@
 struct mesh_instance {
     std::string name;
     std::string ip;
+    /// Address behind a proxy; empty without one.
+    std::string inner_ip;
+    std::string service;
+    std::string version;
     std::string settings_file;
     std::unique_ptr<child_process> node;
     std::unique_ptr<mesh_target> target;
 };
 
+/// Where an instance differs from the others.
+struct instance_options {
+    std::string version = "v1";
+    std::string availability_zone = "ariana";
+    /// Where the node finds the store, if not at the store itself.
+    std::optional<socket_address> store;
+    /// The node takes other nodes' requests at an address of its own, so that a proxy can listen at
+    /// the one that they know.
+    bool is_behind_proxy = false;
+};
+
 /// Sidecars with their targets and a store, on loopback addresses that no other test program uses.
 class sidecar_fleet {
 public:
@@ -38,11 +54,13 @@
     store_standin& store() { return *this->platform; }
 
     /// Starts an instance; it need not be ready when the call returns.
-    mesh_instance& add(std::string const& service, std::string const& version = "v1");
+    mesh_instance& add(std::string const& service, instance_options const& options = {});
     /// Starts an instance whose node cannot reach the store, only the instances before it.
     mesh_instance& add_without_store(std::string const& service);
     /// Starts the node of the instance again, beside the same target.
     void restart(mesh_instance& instance);
+    /// Ends the instance's target, if any, and starts another one with the id.
+    void replace_target(mesh_instance& instance, std::string const& id);
 
     /// Puts a configuration of one route of each kind to the service deposits into the store:
     /// lookups under /get/, non-idempotent requests under /pay/, and as many more as wanted.
@@ -54,12 +72,16 @@
                                       milliseconds deadline = milliseconds(5000));
     /// Where callers on the instance send their requests.
     static socket_address calls_address(mesh_instance const& instance);
+    /// Where other nodes send requests, and where the node of an instance behind a proxy takes
+    /// them.
+    static socket_address peers_address(mesh_instance const& instance);
+    static socket_address proxied_peers_address(mesh_instance const& instance);
     /// Whether the node takes new work.
     bool is_ready(mesh_instance const& instance);
+    /// What all nodes have written.
+    void print_logs(std::ostream& out) const;
 
 private:
-    mesh_instance& add_with_store(std::string const& service, std::string const& version,
-                                  std::string const& store);
     boost::json::array control_addresses() const;
     void start(mesh_instance& instance);
 
--- a/tests/processes/mesh_support/store_standin.cpp
+++ b/tests/processes/mesh_support/store_standin.cpp
@@ -1,4 +1,4 @@
-#include "processes/sidecar/store_standin.h"
+#include "processes/mesh_support/store_standin.h"
 
 #include "core/time.h"
 #include "http/http_server.h"
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <stdexcept>
 #include <thread>
 
 namespace peridot::processes {
@@ -137,6 +138,18 @@
             out.status = 503;
             co_return out;
         }
+        auto answer = co_await this->answer(std::move(request));
+        if (this->delay.load() > milliseconds(0)) {
+            asio::steady_timer timer(this->context, this->delay.load());
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        if (this->is_losing_answers) {
+            throw std::runtime_error("the answer is lost");
+        }
+        co_return answer;
+    }
+
+    asio::awaitable<http_response> answer(http_request request) {
         if (request.target == "/rows-tx") {
             co_return this->commit(request.body);
         }
@@ -170,6 +183,8 @@
     std::map<row_key, stored_row> rows;
     std::uint64_t revision = 0;
     std::atomic<bool> is_out{false};
+    std::atomic<bool> is_losing_answers{false};
+    std::atomic<milliseconds> delay{milliseconds(0)};
     std::atomic<int> waiting{0};
 };
 
@@ -201,4 +216,12 @@
     this->self->is_out = is_out;
 }
 
+void store_standin::set_delay(milliseconds delay) {
+    this->self->delay = delay;
+}
+
+void store_standin::set_losing_answers(bool is_losing) {
+    this->self->is_losing_answers = is_losing;
+}
+
 } // namespace peridot::processes
--- a/tests/processes/mesh_support/store_standin.h
+++ b/tests/processes/mesh_support/store_standin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/socket_address.h"
+#include "core/time.h"
 
 #include <cstdint>
 #include <memory>
@@ -29,6 +30,10 @@
     int waiting_feeds() const;
     /// While it is out, every call is answered with 503.
     void set_out(bool is_out);
+    /// Delays each answer.
+    void set_delay(milliseconds delay);
+    /// Does what it is told and drops the connection instead of answering.
+    void set_losing_answers(bool is_losing);
 
 private:
     class implementation;
--- a/tests/processes/sidecar/sidecar_test.cpp
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -1,4 +1,4 @@
-#include "processes/sidecar/sidecar_fleet.h"
+#include "processes/mesh_support/sidecar_fleet.h"
 #include "processes/support/pipelined_caller.h"
 #include "processes/support/wait_until.h"
 
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <iostream>
 #include <thread>
 
 using namespace peridot;
@@ -15,6 +16,12 @@
     sidecar_fleet fleet;
     std::atomic<int> attempts{0};
 
+    void teardown() override {
+        if (UtestShell::getCurrent()->hasFailed()) {
+            this->fleet.print_logs(std::cout);
+        }
+    }
+
     std::string next_attempt() {
         return "attempt-" + std::to_string(++this->attempts);
     }
@@ -260,7 +267,7 @@
     auto& caller = fleet.add("plants");
     auto& good = fleet.add("deposits");
     CHECK(becomes_served(caller, "/get/1"));
-    auto& bad = fleet.add("deposits", "v2");
+    auto& bad = fleet.add("deposits", {.version = "v2"});
     bad.target->set_failing(true);
     fleet.store().put("op", "rollout/deposits",
                       R"({"Service":"deposits","To":"v2","DurationS":12})");
--- /dev/null
+++ b/tests/soak/fault_schedule.cpp
@@ -0,0 +1,81 @@
+#include "soak/fault_schedule.h"
+
+#include "core/random_source.h"
+
+#include <algorithm>
+#include <array>
+
+namespace peridot::soak {
+
+namespace {
+
+constexpr milliseconds first_fault{200};
+constexpr milliseconds shortest_gap{20};
+constexpr milliseconds longest_gap{700};
+constexpr milliseconds shortest_fault{80};
+constexpr milliseconds longest_fault{2500};
+// A configuration is as likely as this many of the other faults together.
+constexpr int configuration_weight = 3;
+// Of so many steps one is a herd: the same fault at all instances of one half.
+constexpr int steps_per_herd = 12;
+
+constexpr std::array<std::string_view, fault_kinds> names{"kill_node",
+                                                          "stop_node",
+                                                          "freeze_node",
+                                                          "reload_node",
+                                                          "store_out",
+                                                          "store_slow",
+                                                          "store_loses_answers",
+                                                          "store_link_delayed",
+                                                          "store_link_reset",
+                                                          "store_link_lost",
+                                                          "peer_link_delayed",
+                                                          "peer_link_reset",
+                                                          "peer_link_lost_forth",
+                                                          "peer_link_lost_back",
+                                                          "target_fails",
+                                                          "target_slow",
+                                                          "target_loses_answers",
+                                                          "target_replaced",
+                                                          "target_leaves",
+                                                          "configuration"};
+
+std::int64_t between(milliseconds low, milliseconds high, random_source& random) {
+    return std::uniform_int_distribution<std::int64_t>(low.count(), high.count())(random);
+}
+
+fault_kind draw_kind(random_source& random) {
+    auto const last = static_cast<int>(fault_kinds) - 1;
+    auto const drawn =
+        std::uniform_int_distribution<int>(0, last + configuration_weight - 1)(random);
+    return static_cast<fault_kind>(std::min(drawn, last));
+}
+
+} // namespace
+
+std::string_view name(fault_kind kind) {
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+std::vector<soak_fault> make_schedule(std::uint64_t seed, milliseconds length,
+                                      std::size_t instances) {
+    random_source random(seed);
+    std::vector<soak_fault> schedule;
+    for (auto at = first_fault; at < length;) {
+        soak_fault fault;
+        fault.at = at;
+        fault.kind = draw_kind(random);
+        fault.length = milliseconds(between(shortest_fault, longest_fault, random));
+        fault.instance = std::uniform_int_distribution<std::size_t>(0, instances - 1)(random);
+        bool const is_herd = std::uniform_int_distribution<int>(1, steps_per_herd)(random) == 1;
+        std::size_t const harmed = is_herd ? (instances + 1) / 2 : 1;
+        for (std::size_t offset = 0; offset < harmed; ++offset) {
+            schedule.push_back(fault);
+            fault.instance = (fault.instance + 1) % instances;
+        }
+        at += milliseconds(between(shortest_gap, longest_gap, random));
+    }
+    return schedule;
+}
+
+} // namespace peridot::soak
--- /dev/null
+++ b/tests/soak/soak_fault.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace peridot::soak {
+
+/// What a soak does to the system from outside.
+enum class fault_kind : std::uint8_t {
+    kill_node,
+    stop_node,
+    freeze_node,
+    reload_node,
+    store_out,
+    store_slow,
+    store_loses_answers,
+    store_link_delayed,
+    store_link_reset,
+    store_link_lost,
+    peer_link_delayed,
+    peer_link_reset,
+    peer_link_lost_forth,
+    peer_link_lost_back,
+    target_fails,
+    target_slow,
+    target_loses_answers,
+    target_replaced,
+    target_leaves,
+    configuration,
+};
+
+constexpr std::size_t fault_kinds = static_cast<std::size_t>(fault_kind::configuration) + 1;
+
+std::string_view name(fault_kind kind);
+
+/// One fault of a schedule.
+struct soak_fault {
+    milliseconds at{0};
+    milliseconds length{0};
+    fault_kind kind = fault_kind::configuration;
+    /// The instance that is harmed, where the fault concerns one.
+    std::size_t instance = 0;
+};
+
+} // namespace peridot::soak
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,392 @@
+#include "soak/soak_run.h"
+
+#include "processes/mesh_support/sidecar_fleet.h"
+#include "processes/support/wait_until.h"
+#include "soak/fault_proxy.h"
+#include "soak/fault_schedule.h"
+#include "soak/soak_callers.h"
+#include "soak/soak_check.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <functional>
+#include <map>
+#include <ostream>
+#include <thread>
+
+namespace peridot::soak {
+
+namespace {
+
+using processes::mesh_instance;
+using processes::sidecar_fleet;
+
+constexpr std::array<char const*, 3> zones{"zone-a", "zone-b", "zone-c"};
+// Nodes without a target of the service that is called.
+constexpr std::size_t calling_instances = 2;
+constexpr milliseconds restart_pause{300};
+// A node that was told to stop is killed after this, as the platform does.
+constexpr milliseconds stop_time{6000};
+constexpr milliseconds slow_store{400};
+constexpr milliseconds slow_work{1200};
+constexpr milliseconds usual_work{15};
+constexpr int lost_answers = 20;
+// A target that has left gets no new work after this.
+constexpr milliseconds drain_time{2000};
+constexpr milliseconds departure_time{3500};
+// After the last fault all is served again within this.
+constexpr seconds recovery_time{15};
+constexpr milliseconds look_period{5};
+constexpr std::uint64_t first_version = 1;
+
+steady_time now() {
+    return std::chrono::steady_clock::now();
+}
+
+/// A soak while it runs. The main thread carries out the faults; callers and proxies have threads.
+class soak {
+public:
+    soak(soak_options const& wanted, std::ostream& out)
+        : options(wanted), log(out), work(proxies.get_executor()) {
+        this->start_instances();
+        this->proxy_thread = std::thread([this] { this->proxies.run(); });
+    }
+    ~soak() {
+        this->callers.reset();
+        this->proxies.stop();
+        this->proxy_thread.join();
+    }
+    soak(soak const&) = delete;
+    soak& operator=(soak const&) = delete;
+    soak(soak&&) = delete;
+    soak& operator=(soak&&) = delete;
+
+    soak_result run() {
+        this->put_configuration();
+        this->require(this->all_serve(), "the fleet did not start");
+        this->begun = now();
+        std::vector<socket_address> addresses;
+        for (auto const& each : this->nodes) {
+            addresses.push_back(sidecar_fleet::calls_address(*each.instance));
+        }
+        this->callers = std::make_unique<soak_callers>(addresses, this->options.seed);
+        this->callers->set_version(this->version);
+        auto const schedule =
+            make_schedule(this->options.seed, this->options.length, this->nodes.size());
+        for (auto const& fault : schedule) {
+            this->wait_until(this->begun + fault.at);
+            this->begin(fault);
+        }
+        while (!this->pending.empty()) {
+            this->wait_until(this->pending.begin()->first);
+        }
+        this->require(this->all_serve(), "not all is served " +
+                                             std::to_string(recovery_time.count()) +
+                                             " s after the last fault");
+        return this->finish(schedule.size());
+    }
+
+private:
+    struct soaked_node {
+        mesh_instance* instance = nullptr;
+        std::unique_ptr<fault_proxy> store_link;
+        std::unique_ptr<fault_proxy> peer_link;
+        bool is_expected_to_end = false;
+        bool is_frozen = false;
+        bool is_leaving = false;
+        bool is_restarting = false;
+        unsigned targets = 0;
+    };
+
+    void start_instances() {
+        for (std::size_t number = 0; number < this->options.instances; ++number) {
+            soaked_node node;
+            processes::instance_options options;
+            options.availability_zone = zones.at(number % zones.size());
+            options.is_behind_proxy = true;
+            node.store_link = std::make_unique<fault_proxy>(
+                this->proxies, socket_address{"127.0.0.1", 0}, this->fleet.store().address());
+            options.store = node.store_link->address();
+            node.instance =
+                &this->fleet.add(number < calling_instances ? "plants" : "deposits", options);
+            node.peer_link = std::make_unique<fault_proxy>(
+                this->proxies, sidecar_fleet::peers_address(*node.instance),
+                sidecar_fleet::proxied_peers_address(*node.instance));
+            node.instance->target->set_work(usual_work);
+            this->nodes.push_back(std::move(node));
+        }
+    }
+
+    void put_configuration() {
+        this->version = this->version == 0 ? first_version : this->version + 1;
+        this->fleet.configure(this->version, this->version);
+        if (this->callers) {
+            this->callers->set_version(this->version);
+        }
+    }
+
+    // Does what is due until the time has come.
+    void wait_until(steady_time at) {
+        for (;;) {
+            while (!this->pending.empty() && this->pending.begin()->first <= now()) {
+                auto const action = this->pending.extract(this->pending.begin());
+                action.mapped()();
+            }
+            this->restart_ended();
+            if (now() >= at) {
+                return;
+            }
+            std::this_thread::sleep_for(look_period);
+        }
+    }
+
+    void after(milliseconds time, std::function<void()> action) {
+        this->pending.emplace(now() + time, std::move(action));
+    }
+
+    void begin(soak_fault const& fault) {
+        auto& node = this->nodes.at(fault.instance);
+        this->log << std::chrono::duration_cast<milliseconds>(now() - this->begun).count() << " ms "
+                  << name(fault.kind) << " " << node.instance->name << " for "
+                  << fault.length.count() << " ms\n";
+        switch (fault.kind) {
+        case fault_kind::kill_node:
+            return this->kill(fault.instance);
+        case fault_kind::stop_node:
+            return this->stop(fault.instance);
+        case fault_kind::freeze_node:
+            return this->freeze(fault.instance, fault.length);
+        case fault_kind::reload_node:
+            return node.instance->node->send(SIGHUP);
+        case fault_kind::store_out:
+            this->fleet.store().set_out(true);
+            return this->after(fault.length, [this] { this->fleet.store().set_out(false); });
+        case fault_kind::store_slow:
+            this->fleet.store().set_delay(slow_store);
+            return this->after(fault.length,
+                               [this] { this->fleet.store().set_delay(milliseconds(0)); });
+        case fault_kind::store_loses_answers:
+            this->fleet.store().set_losing_answers(true);
+            return this->after(fault.length,
+                               [this] { this->fleet.store().set_losing_answers(false); });
+        case fault_kind::store_link_delayed:
+            return this->harm(*node.store_link, link_state::delayed, fault.length);
+        case fault_kind::store_link_reset:
+            return this->harm(*node.store_link, link_state::reset, fault.length);
+        case fault_kind::store_link_lost:
+            return this->harm(*node.store_link, link_state::lost_back, fault.length);
+        case fault_kind::peer_link_delayed:
+            return this->harm(*node.peer_link, link_state::delayed, fault.length);
+        case fault_kind::peer_link_reset:
+            return this->harm(*node.peer_link, link_state::reset, fault.length);
+        case fault_kind::peer_link_lost_forth:
+            return this->harm(*node.peer_link, link_state::lost_forth, fault.length);
+        case fault_kind::peer_link_lost_back:
+            return this->harm(*node.peer_link, link_state::lost_back, fault.length);
+        case fault_kind::target_fails:
+            node.instance->target->set_failing(true);
+            return this->after(fault.length,
+                               [&node] { node.instance->target->set_failing(false); });
+        case fault_kind::target_slow:
+            node.instance->target->set_work(slow_work);
+            return this->after(fault.length,
+                               [&node] { node.instance->target->set_work(usual_work); });
+        case fault_kind::target_loses_answers:
+            return node.instance->target->lose_answers(lost_answers);
+        case fault_kind::target_replaced:
+            return this->replace_target(node);
+        case fault_kind::target_leaves:
+            return this->let_target_leave(node);
+        case fault_kind::configuration:
+            return this->put_configuration();
+        }
+    }
+
+    void harm(fault_proxy& link, link_state state, milliseconds length) {
+        link.set(state);
+        this->after(length, [&link] { link.set(link_state::sound); });
+    }
+
+    void kill(std::size_t number) {
+        auto& node = this->nodes[number];
+        this->note_outage(number);
+        node.is_expected_to_end = true;
+        node.is_frozen = false;
+        node.instance->node->send(SIGKILL);
+    }
+
+    void stop(std::size_t number) {
+        auto& node = this->nodes[number];
+        if (node.is_expected_to_end) {
+            return;
+        }
+        node.is_expected_to_end = true;
+        node.instance->node->send(SIGTERM);
+        auto const* told = node.instance->node.get();
+        this->after(stop_time, [this, number, told] {
+            if (this->nodes[number].instance->node.get() == told) {
+                this->kill(number);
+            }
+        });
+    }
+
+    void freeze(std::size_t number, milliseconds length) {
+        auto& node = this->nodes[number];
+        if (node.is_frozen) {
+            return;
+        }
+        this->note_outage(number);
+        node.is_frozen = true;
+        node.instance->node->send(SIGSTOP);
+        auto const* frozen = node.instance->node.get();
+        this->after(length, [this, number, frozen] {
+            auto& held = this->nodes[number];
+            if (held.instance->node.get() == frozen) {
+                frozen->send(SIGCONT);
+                held.is_frozen = false;
+                this->end_outages(number);
+            }
+        });
+    }
+
+    void note_outage(std::size_t number) { this->outages.push_back({number, now(), std::nullopt}); }
+
+    void end_outages(std::size_t number) {
+        for (auto& down : this->outages) {
+            if (down.instance == number && !down.ended) {
+                down.ended = now();
+            }
+        }
+    }
+
+    // A process that ended by itself broke a promise; one that was to end starts again.
+    void restart_ended() {
+        for (std::size_t number = 0; number < this->nodes.size(); ++number) {
+            auto& node = this->nodes[number];
+            if (node.is_restarting || !node.instance->node->has_ended()) {
+                continue;
+            }
+            this->require(node.is_expected_to_end, node.instance->name + " ended by itself");
+            node.is_restarting = true;
+            this->after(restart_pause, [this, number] {
+                auto& ended = this->nodes[number];
+                this->callers->note_start(number);
+                this->fleet.restart(*ended.instance);
+                ended.is_restarting = false;
+                ended.is_expected_to_end = false;
+                ended.is_frozen = false;
+                this->end_outages(number);
+            });
+        }
+    }
+
+    void keep_runs(soaked_node const& node) {
+        for (auto const& [attempt, count] : node.instance->target->runs()) {
+            this->runs[attempt] += count;
+        }
+    }
+
+    void replace_target(soaked_node& node) {
+        if (node.is_leaving) {
+            return;
+        }
+        this->keep_runs(node);
+        this->fleet.replace_target(*node.instance, node.instance->name + "-target-" +
+                                                       std::to_string(++node.targets));
+        node.instance->target->set_work(usual_work);
+    }
+
+    // The target says that it leaves, and goes on serving for a while.
+    void let_target_leave(soaked_node& node) {
+        if (node.is_leaving || node.is_frozen || node.is_expected_to_end) {
+            return;
+        }
+        node.is_leaving = true;
+        bool const is_acknowledged = node.instance->target->deregister();
+        this->after(drain_time, [this, &node, is_acknowledged] {
+            auto const before = node.instance->target->ran();
+            this->after(departure_time - drain_time, [this, &node, before, is_acknowledged] {
+                auto const later = node.instance->target->ran();
+                this->require(!is_acknowledged || later == before,
+                              node.instance->target->id() + " got " +
+                                  std::to_string(later - before) + " requests after it had left");
+                node.is_leaving = false;
+                this->replace_target(node);
+            });
+        });
+    }
+
+    bool all_serve() {
+        auto const limit = now() + recovery_time;
+        for (std::size_t number = 0; number < this->nodes.size(); ++number) {
+            auto const& instance = *this->nodes[number].instance;
+            for (auto const& path : {std::string("/get/1"), std::string("/pay/1"),
+                                     "/more" + std::to_string(this->version - 1) + "/1"}) {
+                for (unsigned status = 0; status != 200;) {
+                    if (now() > limit) {
+                        return false;
+                    }
+                    auto const attempt = "probe-" + std::to_string(++this->probes);
+                    auto const answer = this->fleet.call(instance, path, attempt, seconds(2));
+                    status = answer ? answer->status : 0;
+                    if (status != 200) {
+                        this->wait_until(now() + 4 * look_period);
+                    }
+                }
+            }
+        }
+        return true;
+    }
+
+    soak_result finish(std::size_t faults) {
+        auto const records = this->callers->stop();
+        for (auto const& node : this->nodes) {
+            this->keep_runs(node);
+        }
+        soak_result result;
+        result.requests = records.size();
+        result.faults = faults;
+        result.answered = static_cast<std::size_t>(std::ranges::count_if(
+            records, [](soak_record const& record) { return record.status == 200; }));
+        result.broken = find_broken_promises(records, this->runs, this->outages);
+        std::ranges::copy(this->broken, std::back_inserter(result.broken));
+        if (!result.broken.empty()) {
+            this->fleet.print_logs(this->log);
+        }
+        return result;
+    }
+
+    void require(bool holds, std::string const& fault) {
+        if (!holds) {
+            this->broken.push_back(fault);
+        }
+    }
+
+    soak_options options;
+    std::ostream& log;
+    boost::asio::io_context proxies{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    sidecar_fleet fleet;
+    std::vector<soaked_node> nodes;
+    std::unique_ptr<soak_callers> callers;
+    std::thread proxy_thread;
+    steady_time begun;
+    std::uint64_t version = 0;
+    unsigned probes = 0;
+    std::multimap<steady_time, std::function<void()>> pending;
+    std::map<std::string, std::size_t> runs;
+    std::vector<outage> outages;
+    std::vector<std::string> broken;
+};
+
+} // namespace
+
+soak_result run_soak(soak_options const& options, std::ostream& log) {
+    soak running(options, log);
+    return running.run();
+}
+
+} // namespace peridot::soak
