mesh: let a misdirected refusal name the target that is there

Cause: after a loss of power of all instances the new targets take requests 0.5 s before the records of them have spread.

Change: a gate that refuses a request as meant for another target says which one it has. The sender takes it for the recorded one if it is ready, newer, and of the same service and version, until a newer record arrives, and offers the request again. The gate still decides.

--- a/libraries/mesh/gate_decision.h
+++ b/libraries/mesh/gate_decision.h
@@ -2,7 +2,9 @@
 
 #include "core/result_code.h"
 #include "core/time.h"
+#include "mesh/target_record.h"
 
+#include <optional>
 #include <variant>
 
 namespace peridot {
@@ -18,6 +20,8 @@
     result_code reason = result_code::request_overloaded;
     /// When a slot in time is likely.
     milliseconds retry_after{0};
+    /// The target that is there, when the request was meant for another one.
+    std::optional<target_record> found;
 };
 
 /// What the gate says to a new request.
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -6,6 +6,7 @@
 #include "mesh/fleet_retry_budget.h"
 #include "mesh/mesh_configuration.h"
 #include "mesh/share_selector.h"
+#include "mesh/target_corrections.h"
 #include "mesh/target_selector.h"
 #include "mesh/version_share.h"
 #include "observability/counter.h"
@@ -80,6 +81,8 @@
         result_code reason = result_code::request_no_endpoint;
         /// Members that were asked, and the last of them.
         unsigned offers = 0;
+        /// Offers that only told of a newer target.
+        unsigned corrections = 0;
         std::string last_instance;
     };
 
@@ -172,7 +175,7 @@
     }
 
     asio::awaitable<http_response> place(routed_call& routed) {
-        for (unsigned tried = 0; tried < longest_search; ++tried) {
+        while (routed.offers < longest_search + routed.corrections) {
             auto const now = boot_clock::now();
             if (now >= routed.call.deadline) {
                 break;
@@ -181,7 +184,7 @@
             if (!choice) {
                 break;
             }
-            member const chosen = *choice->chosen;
+            member const chosen = this->corrections.apply(*choice->chosen);
             ++routed.offers;
             routed.last_instance = chosen.instance;
             routed.call.target_id = chosen.target.id;
@@ -328,6 +331,12 @@
         case result_code::request_deadline_exceeded:
             routed.attempts.excluded.insert(chosen.instance);
             break;
+        case result_code::request_misdirected:
+            if (refused.found && this->corrections.learn(chosen, *refused.found)) {
+                ++routed.corrections;
+                break;
+            }
+            [[fallthrough]];
         default:
             this->observe(chosen, target_observation::leaving);
             routed.attempts.excluded.insert(chosen.instance);
@@ -419,6 +428,7 @@
     newer_function notice_newer;
     fleet_retry_budget retries;
     target_selector selector;
+    target_corrections corrections;
     caller_deadlines deadlines;
     random_source random = make_random_source();
     share_selector share_choices;
--- a/libraries/sidecar/hop_message.cpp
+++ b/libraries/sidecar/hop_message.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/hop_message.h"
 
+#include "sidecar/member_json.h"
+
 #include <boost/url/decode_view.hpp>
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
@@ -87,6 +89,9 @@
     state_parts_of_answer operator()(gate_refusal& refused) const {
         http_response message;
         message.status = status_refused;
+        if (refused.found) {
+            message.body = encode_target(*refused.found);
+        }
         return {outcome::refusal, refused.reason, refused.retry_after, std::move(message)};
     }
     state_parts_of_answer operator()(gate_unknown& unknown) const {
@@ -189,7 +194,7 @@
     case outcome::target_refusal:
         return {gate_target_refusal{std::move(answer)}, state};
     case outcome::refusal:
-        return {gate_refusal{code, milliseconds(figures[2])}, state};
+        return {gate_refusal{code, milliseconds(figures[2]), decode_target(answer.body)}, state};
     case outcome::unknown:
         break;
     }
--- a/libraries/sidecar/member_json.cpp
+++ b/libraries/sidecar/member_json.cpp
@@ -17,27 +17,52 @@
     return text == "draining" ? target_state::draining : target_state::gone;
 }
 
+json::object fields_of(target_record const& target) {
+    return {{"target", target.id},         {"service", target.service},
+            {"version", target.version},   {"slots", target.slots},
+            {"state", name(target.state)}, {"started_ms", target.started_ms}};
+}
+
+// No value without an id or slots.
+std::optional<target_record> target_in(json::object const& fields) {
+    target_record target;
+    target.id = text_in(fields, "target");
+    target.service = text_in(fields, "service");
+    target.version = text_in(fields, "version");
+    target.slots = static_cast<unsigned>(whole_in(fields, "slots"));
+    target.state = state_of(text_in(fields, "state"));
+    target.started_ms = static_cast<std::int64_t>(whole_in(fields, "started_ms"));
+    if (target.id.empty() || target.slots == 0) {
+        return std::nullopt;
+    }
+    return target;
+}
+
+std::optional<json::object> parse_object(std::string_view text) {
+    boost::system::error_code unreadable;
+    auto parsed = json::parse(text, unreadable);
+    if (unreadable || !parsed.is_object()) {
+        return std::nullopt;
+    }
+    return std::move(parsed.get_object());
+}
+
 } // namespace
 
 std::string encode_member(member const& record) {
-    json::object const text{{"instance", record.instance},
-                            {"ip", record.ip},
-                            {"availability_zone", record.availability_zone},
-                            {"processor_share", record.processor_share},
-                            {"target", record.target.id},
-                            {"service", record.target.service},
-                            {"version", record.target.version},
-                            {"slots", record.target.slots},
-                            {"state", name(record.target.state)},
-                            {"started_ms", record.target.started_ms}};
+    json::object text{{"instance", record.instance},
+                      {"ip", record.ip},
+                      {"availability_zone", record.availability_zone},
+                      {"processor_share", record.processor_share}};
+    for (auto const& field : fields_of(record.target)) {
+        text.emplace(field.key(), field.value());
+    }
     return json::serialize(text);
 }
 
 result<member> decode_member(std::string_view text) {
-    boost::system::error_code unreadable;
-    auto const parsed = json::parse(text, unreadable);
-    auto const* object = unreadable ? nullptr : parsed.if_object();
-    if (object == nullptr) {
+    auto const object = parse_object(text);
+    if (!object) {
         return error{result_code::platform_record_malformed, "a member record is no object"};
     }
     member record;
@@ -45,18 +70,22 @@
     record.ip = text_in(*object, "ip");
     record.availability_zone = text_in(*object, "availability_zone");
     record.processor_share = number_in(*object, "processor_share");
-    record.target.id = text_in(*object, "target");
-    record.target.service = text_in(*object, "service");
-    record.target.version = text_in(*object, "version");
-    auto const slots = whole_in(*object, "slots");
-    record.target.state = state_of(text_in(*object, "state"));
-    record.target.started_ms = static_cast<std::int64_t>(whole_in(*object, "started_ms"));
-    if (record.instance.empty() || record.ip.empty() || record.target.id.empty() || slots == 0) {
+    auto target = target_in(*object);
+    if (record.instance.empty() || record.ip.empty() || !target) {
         return error{result_code::platform_record_malformed,
                      "a member record lacks its instance, address, target or slots"};
     }
-    record.target.slots = static_cast<unsigned>(slots);
+    record.target = std::move(*target);
     return record;
 }
 
+std::string encode_target(target_record const& target) {
+    return json::serialize(fields_of(target));
+}
+
+std::optional<target_record> decode_target(std::string_view text) {
+    auto const object = parse_object(text);
+    return object ? target_in(*object) : std::nullopt;
+}
+
 } // namespace peridot
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -153,7 +153,7 @@
             return gate_refusal{result_code::request_draining, {}};
         }
         if (this->target->id != call.target_id) {
-            return gate_refusal{result_code::request_misdirected, {}};
+            return gate_refusal{result_code::request_misdirected, {}, this->target};
         }
         if (boot_clock::now() >= call.deadline) {
             return gate_refusal{result_code::request_deadline_exceeded, {}};
