--- a/libraries/configuration/configuration_snapshot.cpp
+++ b/libraries/configuration/configuration_snapshot.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-bool is_needed(customer_entry const& entry, configuration_scope const& scope) {
+bool is_needed(workspace_entry const& entry, configuration_scope const& scope) {
     return scope.services.empty() ||
            std::any_of(entry.services.begin(), entry.services.end(),
                        [&](std::string const& service) { return scope.covers(service); });
@@ -38,7 +38,7 @@
             hashes.push_back(hash);
         }
     }
-    for (auto const& [name, entry] : content.customers) {
+    for (auto const& [name, entry] : content.workspaces) {
         if (is_needed(entry, scope)) {
             hashes.push_back(entry.chunk_hash);
         }
@@ -64,13 +64,13 @@
             return failure(added);
         }
     }
-    for (auto const& [name, entry] : content.customers) {
+    for (auto const& [name, entry] : content.workspaces) {
         if (!is_needed(entry, scope)) {
             continue;
         }
         auto const bytes = verified(chunks, name, entry.chunk_hash);
         auto const added =
-            is_ok(bytes) ? snapshot->add_customer(name, value(bytes), scope) : failure(bytes);
+            is_ok(bytes) ? snapshot->add_workspace(name, value(bytes), scope) : failure(bytes);
         if (!is_ok(added)) {
             return failure(added);
         }
@@ -84,9 +84,9 @@
     return std::shared_ptr<configuration_snapshot const>(std::move(snapshot));
 }
 
-contract const* configuration_snapshot::find_customer(std::string_view name) const {
-    auto const found = this->customer_contracts.find(name);
-    return found == this->customer_contracts.end() ? nullptr : &found->second;
+contract const* configuration_snapshot::find_workspace(std::string_view name) const {
+    auto const found = this->workspace_contracts.find(name);
+    return found == this->workspace_contracts.end() ? nullptr : &found->second;
 }
 
 service_chunk const* configuration_snapshot::find_service(std::string_view name) const {
@@ -107,28 +107,28 @@
     return success();
 }
 
-status configuration_snapshot::add_customer(std::string const& name, std::string const& bytes,
-                                            configuration_scope const& scope) {
+status configuration_snapshot::add_workspace(std::string const& name, std::string const& bytes,
+                                             configuration_scope const& scope) {
     auto terms = parse_contract(bytes);
     if (!is_ok(terms)) {
         return failure(terms);
     }
-    if (value(terms).customer != name) {
+    if (value(terms).workspace != name) {
         return error{result_code::chunk_malformed,
-                     "the chunk of " + name + " names another customer"};
+                     "the chunk of " + name + " names another workspace"};
     }
     std::erase_if(value(terms).grants,
                   [&](service_grant const& grant) { return !scope.covers(grant.service); });
-    this->customer_contracts.emplace(name, value(std::move(terms)));
+    this->workspace_contracts.emplace(name, value(std::move(terms)));
     return success();
 }
 
 status configuration_snapshot::check_references() const {
-    for (auto const& [name, terms] : this->customer_contracts) {
+    for (auto const& [name, terms] : this->workspace_contracts) {
         for (auto const& grant : terms.grants) {
             if (this->find_service(grant.service) == nullptr) {
                 return error{result_code::contract_dangling_reference,
-                             "customer " + name + " refers to service " + grant.service +
+                             "workspace " + name + " refers to service " + grant.service +
                                  ", which the version does not have"};
             }
         }
--- a/libraries/configuration/configuration_snapshot.h
+++ b/libraries/configuration/configuration_snapshot.h
@@ -36,7 +36,7 @@
     std::string const& manifest_hash() const { return this->hash; }
     manifest const& manifest_content() const { return this->content; }
 
-    contract const* find_customer(std::string_view name) const;
+    contract const* find_workspace(std::string_view name) const;
     service_chunk const* find_service(std::string_view name) const;
     std::map<std::string, service_chunk, std::less<>> const& services() const {
         return this->service_chunks;
@@ -46,14 +46,14 @@
     configuration_snapshot() = default;
 
     status add_service(std::string const& name, std::string const& bytes);
-    status add_customer(std::string const& name, std::string const& bytes,
-                        configuration_scope const& scope);
+    status add_workspace(std::string const& name, std::string const& bytes,
+                         configuration_scope const& scope);
     status check_references() const;
 
     manifest content;
     std::string hash;
     std::map<std::string, service_chunk, std::less<>> service_chunks;
-    std::map<std::string, contract, std::less<>> customer_contracts;
+    std::map<std::string, contract, std::less<>> workspace_contracts;
 };
 
 } // namespace peridot
--- a/libraries/configuration/contract.h
+++ b/libraries/configuration/contract.h
@@ -8,10 +8,10 @@
 
 namespace peridot {
 
-/// Who a customer is, and what it may call, how much and under what limits.
+/// Who a workspace is, and what it may call, how much and under what limits.
 struct contract {
-    std::string customer;
-    /// SHA-256 of the secret part of the customer's credential, in hexadecimal.
+    std::string workspace;
+    /// SHA-256 of the secret part of the workspace's credential, in hexadecimal.
     std::string credential_sha256;
     std::vector<service_grant> grants;
 
--- a/libraries/configuration/contract_json.cpp
+++ b/libraries/configuration/contract_json.cpp
@@ -159,7 +159,7 @@
     }
     json_reader reader(document, "", result_code::contract_malformed);
     contract parsed;
-    parsed.customer = read_name(reader, "customer");
+    parsed.workspace = read_name(reader, "workspace");
     parsed.credential_sha256 = reader.text("credential_sha256");
     bool const is_digest =
         parsed.credential_sha256.size() == 64 &&
@@ -188,7 +188,7 @@
     for (auto const& grant : terms.grants) {
         grants.push_back(to_json(grant));
     }
-    return json::serialize(json::object{{"customer", terms.customer},
+    return json::serialize(json::object{{"workspace", terms.workspace},
                                         {"credential_sha256", terms.credential_sha256},
                                         {"grants", std::move(grants)}});
 }
--- a/libraries/configuration/manifest.cpp
+++ b/libraries/configuration/manifest.cpp
@@ -12,14 +12,14 @@
 
 namespace {
 
-constexpr std::size_t most_services_of_customer = 256;
+constexpr std::size_t most_services_of_workspace = 256;
 
-customer_entry read_customer(json::value const& source, std::string const& path,
-                             json_reader& parent) {
+workspace_entry read_workspace(json::value const& source, std::string const& path,
+                               json_reader& parent) {
     json_reader reader(source, path, result_code::manifest_malformed);
-    customer_entry entry;
+    workspace_entry entry;
     entry.chunk_hash = reader.text("chunk");
-    for (auto const& service : reader.list("services", most_services_of_customer)) {
+    for (auto const& service : reader.list("services", most_services_of_workspace)) {
         if (!service.is_string()) {
             reader.reject("services", "must be a list of strings");
             break;
@@ -49,9 +49,10 @@
         }
         content.services.emplace(entry.key(), entry.value().as_string());
     }
-    for (auto const& entry : reader.object("customers")) {
+    for (auto const& entry : reader.object("workspaces")) {
         std::string const name(entry.key());
-        content.customers.emplace(name, read_customer(entry.value(), "/customers/" + name, reader));
+        content.workspaces.emplace(name,
+                                   read_workspace(entry.value(), "/workspaces/" + name, reader));
     }
     auto const outcome = reader.finish();
     if (!is_ok(outcome)) {
@@ -65,14 +66,15 @@
     for (auto const& [name, hash] : content.services) {
         services[name] = hash;
     }
-    json::object customers;
-    for (auto const& [name, entry] : content.customers) {
-        customers[name] = {{"chunk", entry.chunk_hash},
-                           {"services", json::array(entry.services.begin(), entry.services.end())}};
+    json::object workspaces;
+    for (auto const& [name, entry] : content.workspaces) {
+        workspaces[name] = {
+            {"chunk", entry.chunk_hash},
+            {"services", json::array(entry.services.begin(), entry.services.end())}};
     }
     return json::serialize(json::object{{"version", content.version},
                                         {"services", std::move(services)},
-                                        {"customers", std::move(customers)}});
+                                        {"workspaces", std::move(workspaces)}});
 }
 
 } // namespace peridot
--- a/libraries/configuration/manifest.h
+++ b/libraries/configuration/manifest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "configuration/customer_entry.h"
+#include "configuration/workspace_entry.h"
 #include "core/result.h"
 
 #include <cstdint>
@@ -15,7 +15,7 @@
     std::uint64_t version = 0;
     /// Service name to chunk hash.
     std::map<std::string, std::string> services;
-    std::map<std::string, customer_entry> customers;
+    std::map<std::string, workspace_entry> workspaces;
 
     bool operator==(manifest const&) const = default;
 };
--- a/libraries/configuration/route.h
+++ b/libraries/configuration/route.h
@@ -10,7 +10,7 @@
 
 namespace peridot {
 
-/// A part of a service that a customer may call.
+/// A part of a service that a workspace may call.
 struct route {
     std::string path_prefix = "/";
     /// Empty for every method.
--- a/libraries/configuration/service_grant.h
+++ b/libraries/configuration/service_grant.h
@@ -9,7 +9,7 @@
 
 namespace peridot {
 
-/// What a contract allows its customer at one service.
+/// What a contract allows its workspace at one service.
 struct service_grant {
     std::string service;
     /// Target version of a service that no contract has named before; later only moves change it.
--- a/libraries/distribution/manifest_difference.cpp
+++ b/libraries/distribution/manifest_difference.cpp
@@ -50,7 +50,7 @@
     manifest_difference change;
     change.version = to.version;
     compare(from.services, to.services, change.services, change.removed_services);
-    compare(from.customers, to.customers, change.customers, change.removed_customers);
+    compare(from.workspaces, to.workspaces, change.workspaces, change.removed_workspaces);
     return change;
 }
 
@@ -59,14 +59,14 @@
     for (auto const& name : change.removed_services) {
         base.services.erase(name);
     }
-    for (auto const& name : change.removed_customers) {
-        base.customers.erase(name);
+    for (auto const& name : change.removed_workspaces) {
+        base.workspaces.erase(name);
     }
     for (auto const& [name, hash] : change.services) {
         base.services[name] = hash;
     }
-    for (auto const& [name, entry] : change.customers) {
-        base.customers[name] = entry;
+    for (auto const& [name, entry] : change.workspaces) {
+        base.workspaces[name] = entry;
     }
     return base;
 }
@@ -75,10 +75,11 @@
     manifest changed;
     changed.version = change.version;
     changed.services = change.services;
-    changed.customers = change.customers;
-    return json::serialize(json::object{{"changed", json::parse(serialize(changed))},
-                                        {"removed_services", to_array(change.removed_services)},
-                                        {"removed_customers", to_array(change.removed_customers)}});
+    changed.workspaces = change.workspaces;
+    return json::serialize(
+        json::object{{"changed", json::parse(serialize(changed))},
+                     {"removed_services", to_array(change.removed_services)},
+                     {"removed_workspaces", to_array(change.removed_workspaces)}});
 }
 
 result<manifest_difference> parse_manifest_difference(std::string_view text) {
@@ -91,14 +92,14 @@
     manifest_difference change;
     auto const changed = parse_manifest(json::serialize(reader.object("changed")));
     change.removed_services = read_names(reader, "removed_services");
-    change.removed_customers = read_names(reader, "removed_customers");
+    change.removed_workspaces = read_names(reader, "removed_workspaces");
     auto const outcome = reader.finish();
     if (!is_ok(outcome) || !is_ok(changed)) {
         return is_ok(outcome) ? failure(changed) : failure(outcome);
     }
     change.version = value(changed).version;
     change.services = value(changed).services;
-    change.customers = value(changed).customers;
+    change.workspaces = value(changed).workspaces;
     return change;
 }
 
--- a/libraries/distribution/manifest_difference.h
+++ b/libraries/distribution/manifest_difference.h
@@ -16,8 +16,8 @@
     std::uint64_t version = 0;
     std::map<std::string, std::string> services;
     std::vector<std::string> removed_services;
-    std::map<std::string, customer_entry> customers;
-    std::vector<std::string> removed_customers;
+    std::map<std::string, workspace_entry> workspaces;
+    std::vector<std::string> removed_workspaces;
 };
 
 manifest_difference difference(manifest const& from, manifest const& to);
--- a/libraries/edits/contract_delete.h
+++ b/libraries/edits/contract_delete.h
@@ -4,9 +4,9 @@
 
 namespace peridot {
 
-/// Ends a customer's contract.
+/// Ends a workspace's contract.
 struct contract_delete {
-    std::string customer;
+    std::string workspace;
 };
 
 } // namespace peridot
--- a/libraries/edits/contract_put.h
+++ b/libraries/edits/contract_put.h
@@ -7,7 +7,7 @@
 
 namespace peridot {
 
-/// Sets a customer's contract.
+/// Sets a workspace's contract.
 struct contract_put {
     contract terms;
     /// Revision of the contract's row that the operator started from; absent: the one found first.
--- a/libraries/edits/edit.cpp
+++ b/libraries/edits/edit.cpp
@@ -6,10 +6,10 @@
 
 struct subject_visitor {
     std::string operator()(contract_put const& change) const {
-        return "contracts/" + change.terms.customer;
+        return "contracts/" + change.terms.workspace;
     }
     std::string operator()(contract_delete const& change) const {
-        return "contracts/" + change.customer;
+        return "contracts/" + change.workspace;
     }
     std::string operator()(version_revert const& /*change*/) const { return "revert"; }
     std::string operator()(move_put const& change) const { return "moves/" + change.id; }
--- a/libraries/edits/edit.h
+++ b/libraries/edits/edit.h
@@ -14,7 +14,7 @@
 /// A change that makes one new configuration version.
 using edit = std::variant<contract_put, contract_delete, version_revert, move_put, move_finish>;
 
-/// The row that two edits of the same thing compete for, such as contracts/<customer>.
+/// The row that two edits of the same thing compete for, such as contracts/<workspace>.
 std::string subject_row(edit const& change);
 
 } // namespace peridot
--- a/libraries/edits/edit_planner.cpp
+++ b/libraries/edits/edit_planner.cpp
@@ -25,7 +25,7 @@
 
     asio::awaitable<result<edit_plan>> operator()(contract_put const& change) {
         auto const& terms = change.terms;
-        customer_entry entry;
+        workspace_entry entry;
         for (auto const& grant : terms.grants) {
             entry.services.push_back(grant.service);
             if (!this->plan.next.services.contains(grant.service)) {
@@ -37,17 +37,17 @@
         }
         auto const text = serialize(terms);
         entry.chunk_hash = this->add_chunk(text);
-        this->plan.next.customers[terms.customer] = std::move(entry);
+        this->plan.next.workspaces[terms.workspace] = std::move(entry);
         this->plan.subject = text;
-        this->plan.summary = "contract of " + terms.customer;
+        this->plan.summary = "contract of " + terms.workspace;
         co_return std::move(this->plan);
     }
 
     asio::awaitable<result<edit_plan>> operator()(contract_delete const& change) {
-        if (this->plan.next.customers.erase(change.customer) == 0) {
-            co_return error{result_code::contract_not_found, "no contract of " + change.customer};
+        if (this->plan.next.workspaces.erase(change.workspace) == 0) {
+            co_return error{result_code::contract_not_found, "no contract of " + change.workspace};
         }
-        this->plan.summary = "end of the contract of " + change.customer;
+        this->plan.summary = "end of the contract of " + change.workspace;
         co_return std::move(this->plan);
     }
 
@@ -76,7 +76,7 @@
         }
         // Services that came later stay; those that are named here keep their current target
         // version.
-        this->plan.next.customers = value(old).customers;
+        this->plan.next.workspaces = value(old).workspaces;
         this->plan.next.services.insert(value(old).services.begin(), value(old).services.end());
         this->plan.subject = json::serialize(json::object{{"reverted_to", change.version}});
         this->plan.summary = "contracts as of version " + std::to_string(change.version);
--- a/libraries/limits/limit_quota.cpp
+++ b/libraries/limits/limit_quota.cpp
@@ -7,8 +7,8 @@
 
 namespace peridot {
 
-limit_key limit_key_of(std::string_view customer, std::string_view service) {
-    std::string text(customer);
+limit_key limit_key_of(std::string_view workspace, std::string_view service) {
+    std::string text(workspace);
     text += '\0';
     text += service;
     return fingerprint(text);
--- a/libraries/limits/limit_quota.h
+++ b/libraries/limits/limit_quota.h
@@ -5,13 +5,13 @@
 
 namespace peridot {
 
-/// Names the limit of one customer at one service in messages.
+/// Names the limit of one workspace at one service in messages.
 using limit_key = std::uint64_t;
 
-/// The key of a customer and a service; the same on every node.
-limit_key limit_key_of(std::string_view customer, std::string_view service);
+/// The key of a workspace and a service; the same on every node.
+limit_key limit_key_of(std::string_view workspace, std::string_view service);
 
-/// The fleet-wide limit of one (customer, service).
+/// The fleet-wide limit of one (workspace, service).
 struct limit_quota {
     double rate_per_second = 0.0;
     /// Requests that may come at once after a pause.
--- a/libraries/limits/local_limiter.h
+++ b/libraries/limits/local_limiter.h
@@ -12,7 +12,7 @@
 
 namespace peridot {
 
-/// Admits requests of one (customer, service) at an entry node against the node's share of the
+/// Admits requests of one (workspace, service) at an entry node against the node's share of the
 /// fleet-wide limit, and measures the demand. Workers share it without a lock; the control thread
 /// applies shares and sends reports.
 class local_limiter {
--- a/libraries/node/limit_agent.cpp
+++ b/libraries/node/limit_agent.cpp
@@ -77,7 +77,7 @@
         this->is_view_changed = true;
     }
 
-    // Follows the held version and the view: one limiter for each (customer, service), and the
+    // Follows the held version and the view: one limiter for each (workspace, service), and the
     // divider that rendezvous hashing makes responsible for it.
     void refresh_quotas(steady_time now) {
         auto const snapshot = this->state.snapshots.current();
@@ -88,13 +88,13 @@
         this->is_view_changed = false;
         std::map<limit_key, known_limit> next;
         auto table = std::make_shared<limit_table>();
-        for (auto const& [customer, entry] : snapshot->manifest_content().customers) {
-            auto const* terms = snapshot->find_customer(customer);
+        for (auto const& [workspace, entry] : snapshot->manifest_content().workspaces) {
+            auto const* terms = snapshot->find_workspace(workspace);
             if (terms == nullptr) {
                 continue;
             }
             for (auto const& grant : terms->grants) {
-                auto const key = limit_key_of(customer, grant.service);
+                auto const key = limit_key_of(workspace, grant.service);
                 auto limit = this->follow(key, quota_of(grant.limit), now);
                 table->limiters[key] = limit.limiter;
                 next.emplace(key, std::move(limit));
--- a/libraries/node/move_agent.cpp
+++ b/libraries/node/move_agent.cpp
@@ -160,8 +160,8 @@
         if (move.service) {
             routes = move.service->routes;
         }
-        for (auto const& [customer, entry] : this->snapshot->manifest_content().customers) {
-            auto const* terms = this->snapshot->find_customer(customer);
+        for (auto const& [workspace, entry] : this->snapshot->manifest_content().workspaces) {
+            auto const* terms = this->snapshot->find_workspace(workspace);
             if (terms == nullptr) {
                 continue;
             }
--- a/libraries/proxy/call_proxy.cpp
+++ b/libraries/proxy/call_proxy.cpp
@@ -100,7 +100,7 @@
 
     static http_response refuse_over_limit(nanoseconds wait) {
         auto refused = make_refusal({result_code::request_limit_exceeded,
-                                     "the customer's limit for the service is used up"},
+                                     "the workspace's limit for the service is used up"},
                                     name(attempt_outcome::not_run));
         auto const whole_seconds = std::chrono::ceil<seconds>(wait).count();
         refused.headers.set(header_names::retry_after,
@@ -113,7 +113,7 @@
         request.target = call.path;
         request.headers.remove(header_names::authorization);
         request.headers.set(header_names::request_id, call.request_id);
-        request.headers.set(header_names::customer, call.terms->customer);
+        request.headers.set(header_names::workspace, call.terms->workspace);
         request.headers.set(header_names::service, call.grant->service);
         request.headers.set(header_names::request_class,
                             call.matched->urgency == request_class::background ? "background"
@@ -130,7 +130,7 @@
             co_return co_await this->run_attempts(call, std::move(request));
         }
         duplicate_guard guard(this->context.table);
-        auto const claimed = co_await guard.claim(call.terms->customer, call.grant->service, key,
+        auto const claimed = co_await guard.claim(call.terms->workspace, call.grant->service, key,
                                                   call.request_id, call.end.at);
         if (!is_ok(claimed)) {
             co_return make_refusal(failure(claimed), name(attempt_outcome::not_run));
--- a/libraries/proxy/credential.cpp
+++ b/libraries/proxy/credential.cpp
@@ -8,7 +8,7 @@
 result<contract const*> authenticate(configuration_snapshot const& snapshot,
                                      std::string_view authorization) {
     error const refused{result_code::request_unauthenticated,
-                        "the Authorization field does not prove a customer"};
+                        "the Authorization field does not prove a workspace"};
     constexpr std::string_view scheme = "Bearer ";
     if (!authorization.starts_with(scheme)) {
         return refused;
@@ -19,8 +19,8 @@
         return refused;
     }
     auto const digest = sha256_hex(credential.substr(dot + 1));
-    auto const* terms = snapshot.find_customer(credential.substr(0, dot));
-    // The comparison also runs for an unknown customer, so that the time does not tell who exists.
+    auto const* terms = snapshot.find_workspace(credential.substr(0, dot));
+    // The comparison also runs for an unknown workspace, so that the time does not tell who exists.
     std::string const expected =
         terms == nullptr ? std::string(digest.size(), '0') : terms->credential_sha256;
     if (!is_equal_in_constant_time(digest, expected) || terms == nullptr) {
--- a/libraries/proxy/duplicate_guard.cpp
+++ b/libraries/proxy/duplicate_guard.cpp
@@ -39,11 +39,11 @@
 
 duplicate_guard::duplicate_guard(table_client& rows) : table(&rows) {}
 
-boost::asio::awaitable<status> duplicate_guard::claim(std::string customer, std::string service,
+boost::asio::awaitable<status> duplicate_guard::claim(std::string workspace, std::string service,
                                                       std::string key, std::string id,
                                                       steady_time deadline) {
     // The key is the caller's text; its hash bounds the row's name and keeps it out of logs.
-    this->row = "requests/" + customer + "/" + service + "/" + sha256_hex(key);
+    this->row = "requests/" + workspace + "/" + service + "/" + sha256_hex(key);
     this->request_id = std::move(id);
     auto const now = std::chrono::system_clock::now().time_since_epoch();
     auto const content = json::serialize(
--- a/libraries/proxy/duplicate_guard.h
+++ b/libraries/proxy/duplicate_guard.h
@@ -22,8 +22,9 @@
     /// Claims the key for a request. request_duplicate: an earlier request holds it. Any other
     /// error: the platform could not decide, and the request must not be sent on. An answer of the
     /// platform that was lost is settled by reading the row.
-    boost::asio::awaitable<status> claim(std::string customer, std::string service, std::string key,
-                                         std::string request_id, steady_time deadline);
+    boost::asio::awaitable<status> claim(std::string workspace, std::string service,
+                                         std::string key, std::string request_id,
+                                         steady_time deadline);
 
     /// Gives the key back after the request was not run, so that the caller can send it again.
     boost::asio::awaitable<void> release(steady_time deadline);
--- a/libraries/proxy/header_names.h
+++ b/libraries/proxy/header_names.h
@@ -9,7 +9,7 @@
 inline constexpr std::string_view authorization = "Authorization";
 inline constexpr std::string_view request_id = "Peridot-Request-Id";
 inline constexpr std::string_view deadline = "Peridot-Deadline-Ms";
-inline constexpr std::string_view customer = "Peridot-Customer";
+inline constexpr std::string_view workspace = "Peridot-Workspace";
 inline constexpr std::string_view service = "Peridot-Service";
 inline constexpr std::string_view target_version = "Peridot-Target-Version";
 inline constexpr std::string_view attempt = "Peridot-Attempt";
--- a/libraries/proxy/limit_hold.cpp
+++ b/libraries/proxy/limit_hold.cpp
@@ -18,7 +18,7 @@
 nanoseconds limit_hold::take(node_state const& state, routed_call const& call, steady_time now) {
     auto const table = state.limits.load();
     auto const found =
-        table->limiters.find(limit_key_of(call.terms->customer, call.grant->service));
+        table->limiters.find(limit_key_of(call.terms->workspace, call.grant->service));
     if (found == table->limiters.end()) {
         // The table follows the snapshot within one tick of the control thread.
         return nanoseconds::zero();
--- a/libraries/proxy/limit_hold.h
+++ b/libraries/proxy/limit_hold.h
@@ -11,7 +11,7 @@
 struct node_state;
 struct routed_call;
 
-/// A call's place within its customer's limit, given back when the call ends, however it ends.
+/// A call's place within its workspace's limit, given back when the call ends, however it ends.
 class limit_hold {
 public:
     limit_hold() = default;
--- a/libraries/proxy/request_metrics.cpp
+++ b/libraries/proxy/request_metrics.cpp
@@ -18,7 +18,7 @@
     , retries(registry.register_counter("peridot_retries_total",
                                         "Attempts after the first one of a call."))
     , limited(registry.register_counter("peridot_limit_refusals_total",
-                                        "Calls refused because of the customer's limit."))
+                                        "Calls refused because of the workspace's limit."))
     , refused_by_admission(registry.register_counter(
           "peridot_admission_refusals_total", "Requests that the target's admission refused."))
     , call_duration(registry.register_latency("peridot_call_duration_seconds",
--- a/tests/distribution/fake_platform.cpp
+++ b/tests/distribution/fake_platform.cpp
@@ -32,7 +32,7 @@
     manifest content;
     content.version = version;
     content.services["deposits"] = sha256_hex(serialize(make_service(text)));
-    content.customers["cafe"] = {sha256_hex(serialize(make_contract())), {"deposits"}};
+    content.workspaces["cafe"] = {sha256_hex(serialize(make_contract())), {"deposits"}};
     return content;
 }
 
--- a/tests/distribution/fake_platform.h
+++ b/tests/distribution/fake_platform.h
@@ -12,7 +12,7 @@
 /// A platform in memory: a table with conditional transactions, an object store, and faults.
 class fake_platform {
 public:
-    /// Accepts a version with one service and one customer, whose chunks depend on the text.
+    /// Accepts a version with one service and one workspace, whose chunks depend on the text.
     void accept(std::uint64_t version, std::string const& text);
 
     /// The manifest of a version, without accepting it.
--- a/tests/distribution/peer_service_test.cpp
+++ b/tests/distribution/peer_service_test.cpp
@@ -155,7 +155,7 @@
 TEST(manifest_difference, leads_from_one_manifest_to_the_other) {
     manifest from = fake_platform::make_manifest(1, "a");
     from.services["old"] = "x";
-    from.customers["gone"] = {"y", {"old"}};
+    from.workspaces["gone"] = {"y", {"old"}};
     manifest to = fake_platform::make_manifest(7, "b");
     to.services["new"] = "z";
     auto const text = serialize(difference(from, to));
--- a/tests/node/moving_fleet.h
+++ b/tests/node/moving_fleet.h
@@ -2,9 +2,9 @@
 
 #include "configuration/configuration_scope.h"
 #include "configuration/contract_json.h"
-#include "configuration/customer_entry.h"
 #include "configuration/manifest.h"
 #include "configuration/service_chunk.h"
+#include "configuration/workspace_entry.h"
 #include "core/digest.h"
 #include "moves/default_ramp.h"
 #include "moves/move_declaration.h"
@@ -165,7 +165,7 @@
 
     std::shared_ptr<configuration_snapshot const> make_snapshot() const {
         contract terms;
-        terms.customer = "cafe-partners";
+        terms.workspace = "cafe-partners";
         terms.credential_sha256 = sha256_hex("secret");
         service_grant grant;
         grant.service = "deposits";
@@ -182,7 +182,7 @@
         content.version = this->version;
         content.services["deposits"] =
             add(serialize(service_chunk{"deposits", "v1", encode(this->declared)}));
-        content.customers["cafe-partners"] = {add(serialize(terms)), {"deposits"}};
+        content.workspaces["cafe-partners"] = {add(serialize(terms)), {"deposits"}};
         auto const hash = sha256_hex(serialize(content));
         auto const built = configuration_snapshot::build(
             content, hash, configuration_scope{},
--- a/tests/processes/distribution/distribution_test.cpp
+++ b/tests/processes/distribution/distribution_test.cpp
@@ -75,7 +75,7 @@
         return true;
     }
 
-    // The node's answer to a call of the customer.
+    // The node's answer to a call of the workspace.
     std::optional<http_response> call(node_process const& node) {
         std::string const credential = std::string("Bearer cafe-partners.") + test_secret;
         return this->system.http().call(
--- a/tests/processes/edits/edits_test.cpp
+++ b/tests/processes/edits/edits_test.cpp
@@ -18,9 +18,9 @@
 constexpr int conflict_rounds = 50;
 constexpr int parallel_rounds = 25;
 
-contract_terms terms_of(std::string customer, std::uint32_t mark) {
+contract_terms terms_of(std::string workspace, std::uint32_t mark) {
     contract_terms terms;
-    terms.customer = std::move(customer);
+    terms.workspace = std::move(workspace);
     terms.mark = mark;
     return terms;
 }
@@ -34,10 +34,10 @@
     return found.is_object() ? found.at("revision").to_number<std::uint64_t>() : 0;
 }
 
-// The mark of a customer's contract in the accepted version, which is what nodes will apply.
-std::uint64_t accepted_mark(fleet& system, std::string const& customer) {
+// The mark of a workspace's contract in the accepted version, which is what nodes will apply.
+std::uint64_t accepted_mark(fleet& system, std::string const& workspace) {
     auto const manifest = system.manifest();
-    auto const& entry = manifest.at("customers").at(customer);
+    auto const& entry = manifest.at("workspaces").at(workspace);
     std::string const hash(entry.at("chunk").as_string());
     return mark_of(system.object("chunks/" + hash));
 }
@@ -118,9 +118,9 @@
     auto version = system.apply(terms_of("depot-drivers", 1));
     for (std::uint32_t round = 1; round <= parallel_rounds; ++round) {
         std::unique_ptr<child_process> tools[2];
-        std::string const customers[] = {"cafe-partners", "depot-drivers"};
+        std::string const workspaces[] = {"cafe-partners", "depot-drivers"};
         for (int side = 0; side < 2; ++side) {
-            auto const file = system.contract_file(terms_of(customers[side], round + 1));
+            auto const file = system.contract_file(terms_of(workspaces[side], round + 1));
             tools[side] = system.start_tool({"contract", "apply", file});
         }
         for (auto const& tool : tools) {
@@ -129,8 +129,8 @@
         }
         version += 2;
         UNSIGNED_LONGS_EQUAL(version, system.head_version());
-        for (auto const& customer : customers) {
-            UNSIGNED_LONGS_EQUAL(round + 1, accepted_mark(system, customer));
+        for (auto const& workspace : workspaces) {
+            UNSIGNED_LONGS_EQUAL(round + 1, accepted_mark(system, workspace));
         }
     }
 }
--- a/tests/processes/support/contract_terms.cpp
+++ b/tests/processes/support/contract_terms.cpp
@@ -20,7 +20,7 @@
     if (!terms.initial_target_version.empty()) {
         grant["initial_target_version"] = terms.initial_target_version;
     }
-    boost::json::object const contract{{"customer", terms.customer},
+    boost::json::object const contract{{"workspace", terms.workspace},
                                        {"credential_sha256", sha256_hex(test_secret)},
                                        {"grants", boost::json::array{std::move(grant)}}};
     return boost::json::serialize(contract);
--- a/tests/processes/support/contract_terms.h
+++ b/tests/processes/support/contract_terms.h
@@ -5,12 +5,12 @@
 
 namespace peridot::processes {
 
-/// The secret of every customer in the tests.
+/// The secret of every workspace in the tests.
 inline constexpr char const* test_secret = "demo-secret";
 
 /// The parts of a contract that tests vary: one service, one route for every path and method.
 struct contract_terms {
-    std::string customer = "cafe-partners";
+    std::string workspace = "cafe-partners";
     std::string service = "deposits";
     /// Left out of the contract when empty.
     std::string initial_target_version = "v1";
--- a/utilities/peridot-load/load_options.h
+++ b/utilities/peridot-load/load_options.h
@@ -13,7 +13,7 @@
 struct load_options {
     /// Addresses in turn.
     std::vector<socket_address> nodes;
-    /// "<customer>.<secret>", or empty for none.
+    /// "<workspace>.<secret>", or empty for none.
     std::string credential;
     std::string method = "GET";
     std::string path = "/";
--- a/utilities/peridot-load/main.cpp
+++ b/utilities/peridot-load/main.cpp
@@ -26,7 +26,7 @@
     std::string arrivals = "poisson";
     std::string output = "text";
     arguments.add_option("--node", nodes, "Address ip:port to send to; repeatable")->required();
-    arguments.add_option("--credential", options.credential, "<customer>.<secret>");
+    arguments.add_option("--credential", options.credential, "<workspace>.<secret>");
     arguments.add_option("--method", options.method, "HTTP method")->capture_default_str();
     arguments.add_option("--path", options.path, "Path, /<service>/<path> at a node")
         ->capture_default_str();
--- a/utilities/peridotctl/contract_commands.cpp
+++ b/utilities/peridotctl/contract_commands.cpp
@@ -63,20 +63,20 @@
     return content == nullptr ? json::value(nullptr) : *content;
 }
 
-void get(command_context& context, std::string const& customer) {
+void get(command_context& context, std::string const& workspace) {
     auto const session = context.open_session();
     if (!session) {
         return;
     }
     auto const row =
-        session->run(session->table.read("contracts/" + customer, session->deadline()));
+        session->run(session->table.read("contracts/" + workspace, session->deadline()));
     if (!is_ok(row)) {
         context.fail(failure(row));
         return;
     }
     auto const content = content_of(value(row));
     if (content.is_null()) {
-        context.fail({result_code::contract_not_found, "no contract of " + customer});
+        context.fail({result_code::contract_not_found, "no contract of " + workspace});
         return;
     }
     std::cout << json::serialize(content) << "\n";
@@ -97,7 +97,7 @@
         auto const content = content_of(row);
         if (content.is_object()) {
             auto const grants = content.as_object().at("grants").as_array().size();
-            entries.push_back({{"customer", content.as_object().at("customer")},
+            entries.push_back({{"workspace", content.as_object().at("workspace")},
                                {"grants", grants},
                                {"revision", row.revision}});
         }
@@ -106,7 +106,7 @@
         std::cout << json::serialize(entries) << "\n";
         return;
     }
-    print_table(std::cout, {"customer", "grants", "revision"}, entries);
+    print_table(std::cout, {"workspace", "grants", "revision"}, entries);
 }
 
 void diff(command_context& context, std::string const& path) {
@@ -120,7 +120,7 @@
         return;
     }
     auto const row = session->run(
-        session->table.read("contracts/" + value(terms).customer, session->deadline()));
+        session->table.read("contracts/" + value(terms).workspace, session->deadline()));
     if (!is_ok(row)) {
         context.fail(failure(row));
         return;
@@ -154,11 +154,11 @@
 } // namespace
 
 void add_contract_commands(CLI::App& root, command_context& context) {
-    auto* group = root.add_subcommand("contract", "Contracts of customers");
+    auto* group = root.add_subcommand("contract", "Contracts of workspaces");
     group->require_subcommand(1);
 
     auto path = std::make_shared<std::string>();
-    auto customer = std::make_shared<std::string>();
+    auto workspace = std::make_shared<std::string>();
     auto number = std::make_shared<std::uint64_t>(0);
 
     auto* apply_command = group->add_subcommand("apply", "Set a contract from a JSON file");
@@ -168,8 +168,8 @@
     apply_command->callback([&context, path, number] { apply(context, *path, *number); });
 
     auto* get_command = group->add_subcommand("get", "Print a contract");
-    get_command->add_option("customer", *customer, "Customer")->required();
-    get_command->callback([&context, customer] { get(context, *customer); });
+    get_command->add_option("workspace", *workspace, "Workspace")->required();
+    get_command->callback([&context, workspace] { get(context, *workspace); });
 
     group->add_subcommand("list", "List the contracts")->callback([&context] { list(context); });
 
@@ -178,8 +178,9 @@
     diff_command->callback([&context, path] { diff(context, *path); });
 
     auto* delete_command = group->add_subcommand("delete", "End a contract");
-    delete_command->add_option("customer", *customer, "Customer")->required();
-    delete_command->callback([&context, customer] { accept(context, contract_delete{*customer}); });
+    delete_command->add_option("workspace", *workspace, "Workspace")->required();
+    delete_command->callback(
+        [&context, workspace] { accept(context, contract_delete{*workspace}); });
 
     auto* revert_command =
         group->add_subcommand("revert", "Make a new version with the contracts of an earlier one");
