--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -5,13 +5,14 @@
 #include "core/random_source.h"
 #include "http/connection_pool.h"
 #include "mesh/mesh_configuration.h"
+#include "mesh/node_search.h"
 #include "mesh/row_replica.h"
 #include "mesh/row_source_selector.h"
 #include "platform/decoders.h"
 #include "platform/store_client.h"
 #include "settings/sidecar_settings.h"
-#include "sidecar/change_signal.h"
 #include "sidecar/commit_message.h"
+#include "sidecar/row_answers.h"
 #include "sidecar/row_conversion.h"
 #include "sidecar/row_exchange_message.h"
 #include "sidecar/row_writer.h"
@@ -26,7 +27,6 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 
 namespace peridot {
 
@@ -64,9 +64,6 @@
 constexpr milliseconds pause_for_configuration{1500};
 // What another node holds already usually arrives by the own source within this time.
 constexpr milliseconds arrival_time{300};
-constexpr std::size_t most_contacts = 256;
-// Of the questions to any node, this many in a row go to the own availability zone.
-constexpr unsigned near_questions = 3;
 
 } // namespace
 
@@ -78,13 +75,15 @@
         , connections(pool)
         , store(client)
         , views(cell)
-        , own_ip(settings.ip)
-        , availability_zone(settings.availability_zone)
         , port(settings.control_port)
         , sources(settings.instance, settings.availability_zone)
         , role_changed(io, steady_time::max())
-        , rows_changed(io)
-        , writer(pool, client, settings.control_port) {
+        , answers(io, replica,
+                  [this] {
+                      return row_answers::copy_state{this->covered(), this->is_current()};
+                  })
+        , writer(pool, client, settings.control_port)
+        , search(settings.ip, settings.availability_zone) {
         for (auto const table : {store_keys::operator_table, fleet_keys::table}) {
             this->feeds.emplace(table, this->make_feed(std::string(table)));
         }
@@ -97,11 +96,7 @@
         asio::co_spawn(this->context, learn(this->shared_from_this()), asio::detached);
     }
 
-    void add_contact(std::string const& ip) {
-        if (ip != this->own_ip && this->contacts.size() < most_contacts) {
-            this->contacts.insert(ip);
-        }
-    }
+    void add_contact(std::string const& ip) { this->search.add_contact(ip); }
 
     // Both clocks are steady; answers that were long under way would set the clock back.
     void note_store_time(milliseconds read) {
@@ -160,8 +155,7 @@
             self->sources.observe_demand(std::chrono::steady_clock::now());
             self->set_follows_store(true);
         }
-        co_await self->hold(*question);
-        co_return self->write_page(*question);
+        co_return co_await self->answers.answer(*question);
     }
 
     static asio::awaitable<void> ask_late(std::shared_ptr<implementation> self, std::string ip,
@@ -180,12 +174,6 @@
     std::function<void()> handle_change;
 
 private:
-    // The last answer about rows, and what it was written for.
-    struct written_page {
-        row_page page;
-        http_response answer;
-    };
-
     std::unique_ptr<table_feed> make_feed(std::string const& table) {
         table_feed::handlers receivers;
         receivers.replace = [this, table](std::vector<replica_row> rows, std::uint64_t revision) {
@@ -375,26 +363,10 @@
     // While the store does not serve this node and no follower is known, any node may know more.
     asio::awaitable<void> ask_any() {
         auto const view = this->views.load();
-        std::vector<std::string> near;
-        if (view) {
-            for (auto const& [service, members] : view->members) {
-                for (auto const& known : members) {
-                    if (known.availability_zone == this->availability_zone &&
-                        known.target.state != target_state::gone && known.ip != this->own_ip) {
-                        near.push_back(known.ip);
-                    }
-                }
-            }
-        }
-        if (near.empty() || ++this->searches % (near_questions + 1) == 0) {
-            near.assign(this->contacts.begin(), this->contacts.end());
+        auto const chosen = this->search.next(view.get(), this->random);
+        if (chosen) {
+            co_await this->ask_once(*chosen);
         }
-        if (near.empty()) {
-            co_return;
-        }
-        auto const chosen =
-            std::uniform_int_distribution<std::size_t>(0, near.size() - 1)(this->random);
-        co_await this->ask_once(near[chosen]);
     }
 
     // Asks for what the node holds now, without relying on it any further.
@@ -427,47 +399,7 @@
         if (this->handle_change) {
             this->handle_change();
         }
-        this->rows_changed.notify();
-    }
-
-    // Keeps an answer back until there is something newer than the asking node holds.
-    asio::awaitable<void> hold(row_question const& question) {
-        auto const until = std::chrono::steady_clock::now() + question.hold;
-        while (std::chrono::steady_clock::now() < until && this->is_current() &&
-               !this->has_newer(question)) {
-            co_await this->rows_changed.wait(until);
-        }
-    }
-
-    bool has_newer(row_question const& question) const {
-        return std::ranges::any_of(question.held, [this](auto const& entry) {
-            return !this->replica.rows_after(entry.first, entry.second).empty();
-        });
-    }
-
-    // Nodes that wait for the same change get the same page, which is written once.
-    http_response const& write_page(row_question const& question) {
-        auto page = this->page_for(question);
-        if (!this->written || this->written->page != page) {
-            auto answer = write_row_page(page);
-            this->written = {std::move(page), std::move(answer)};
-        }
-        return this->written->answer;
-    }
-
-    row_page page_for(row_question const& question) const {
-        row_page page;
-        page.covered = this->covered();
-        page.is_current = this->is_current();
-        if (question.is_comparison) {
-            return page;
-        }
-        for (auto const& [table, revision] : question.held) {
-            for (auto const* row : this->replica.rows_after(table, revision)) {
-                page.rows.push_back(*row);
-            }
-        }
-        return page;
+        this->answers.notify();
     }
 
     asio::awaitable<void> pause(milliseconds time) {
@@ -478,21 +410,17 @@
     connection_pool& connections;
     store_client& store;
     rcu_cell<fleet_view>& views;
-    std::string own_ip;
-    std::string availability_zone;
     std::uint16_t port;
     row_source_selector sources;
     view_builder builder;
     std::map<std::string, std::unique_ptr<table_feed>, std::less<>> feeds;
     bool follows_store = true;
     asio::steady_timer role_changed;
-    change_signal rows_changed;
-    std::optional<written_page> written;
+    row_answers answers;
     row_writer writer;
     bool has_published = false;
     std::optional<milliseconds> store_clock_offset;
-    std::set<std::string> contacts;
-    unsigned searches = 0;
+    node_search search;
     random_source random = make_random_source();
 };
 
--- /dev/null
+++ b/libraries/sidecar/row_answers.cpp
@@ -0,0 +1,89 @@
+#include "sidecar/row_answers.h"
+
+#include "mesh/row_replica.h"
+#include "sidecar/change_signal.h"
+#include "sidecar/row_exchange_message.h"
+#include "sidecar/row_page.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace peridot {
+
+namespace asio = boost::asio;
+
+class row_answers::implementation {
+public:
+    implementation(asio::io_context& context, row_replica const& copy, state_function state)
+        : replica(copy), state_of_copy(std::move(state)), rows_changed(context) {}
+
+    asio::awaitable<void> hold(row_question const& question) {
+        auto const until = std::chrono::steady_clock::now() + question.hold;
+        while (std::chrono::steady_clock::now() < until && this->state_of_copy().is_current &&
+               !this->has_newer(question)) {
+            co_await this->rows_changed.wait(until);
+        }
+    }
+
+    // Nodes that wait for the same change get the same page, which is written once.
+    http_response const& write_page(row_question const& question) {
+        auto page = this->page_for(question);
+        if (!this->written || this->written->page != page) {
+            auto answer = write_row_page(page);
+            this->written = {std::move(page), std::move(answer)};
+        }
+        return this->written->answer;
+    }
+
+    row_replica const& replica;
+    state_function state_of_copy;
+    change_signal rows_changed;
+
+private:
+    // The last answer about rows, and what it was written for.
+    struct written_page {
+        row_page page;
+        http_response answer;
+    };
+
+    bool has_newer(row_question const& question) const {
+        return std::ranges::any_of(question.held, [this](auto const& entry) {
+            return !this->replica.rows_after(entry.first, entry.second).empty();
+        });
+    }
+
+    row_page page_for(row_question const& question) const {
+        auto [covered, is_current] = this->state_of_copy();
+        row_page page;
+        page.covered = std::move(covered);
+        page.is_current = is_current;
+        if (question.is_comparison) {
+            return page;
+        }
+        for (auto const& [table, revision] : question.held) {
+            for (auto const* row : this->replica.rows_after(table, revision)) {
+                page.rows.push_back(*row);
+            }
+        }
+        return page;
+    }
+
+    std::optional<written_page> written;
+};
+
+row_answers::row_answers(asio::io_context& context, row_replica const& replica,
+                         state_function state)
+    : self(std::make_unique<implementation>(context, replica, std::move(state))) {}
+
+row_answers::~row_answers() = default;
+
+void row_answers::notify() {
+    this->self->rows_changed.notify();
+}
+
+asio::awaitable<http_response> row_answers::answer(row_question question) {
+    co_await this->self->hold(question);
+    co_return this->self->write_page(question);
+}
+
+} // namespace peridot
