mesh: notice slow targets by requests that stay unanswered

Their callers leave before, so no answer told of it: their time stayed unknown to most nodes, and an unknown time counts as fast. Besides, a caller that leaves counted as a failure of the way to the member, which was then left alone for 200 ms.

Change: a gate tells the mean time of a route or what its running requests have taken so far, whichever is more; a request that stays unanswered teaches its time; a request that its caller gives up tells the sender how long the member kept it, and nothing else.

--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -83,6 +83,21 @@
                                                   : found->second.mean + found->second.deviation;
     }
 
+    // The mean time of the route, or what its running requests have taken so far if that is more: a
+    // target that has just slowed down answers nothing yet that would tell.
+    nanoseconds time_seen(std::string const& route, boot_time now) const {
+        auto const mean = this->mean_time(route);
+        nanoseconds sum{0};
+        int count = 0;
+        for (auto const& [id, request] : this->running) {
+            if (request.route == route) {
+                sum += std::max<nanoseconds>(mean, now - request.started);
+                ++count;
+            }
+        }
+        return count == 0 ? mean : sum / count;
+    }
+
     // Begins the timing of a route that is new.
     void estimate(gate_request const& request, boot_time now) {
         auto const left = std::max(nanoseconds(0), request.target_at - now);
@@ -219,7 +234,7 @@
     }
     auto const& [route, started] = found->second;
     auto const taken = now - started;
-    bool const is_long = how == ending::failed && taken > this->self->mean_time(route);
+    bool const is_long = how != ending::succeeded && taken > this->self->mean_time(route);
     if (how == ending::succeeded || is_long) {
         this->self->learn(route, taken);
     }
@@ -280,7 +295,7 @@
     current.in_use = static_cast<unsigned>(own.running.size());
     current.waiting = static_cast<unsigned>(own.queue.size());
     current.slots = own.slots;
-    current.service_time = to_milliseconds(own.mean_time(route));
+    current.service_time = to_milliseconds(own.time_seen(route, now));
     if (own.slots > 0 && own.running.size() >= own.slots) {
         auto times = own.free_slots(now);
         for (auto const& waiting : own.queue) {
--- a/libraries/mesh/gate_queue.h
+++ b/libraries/mesh/gate_queue.h
@@ -44,8 +44,8 @@
     /// How the time of a request at the target ended.
     enum class ending : std::uint8_t { succeeded, failed, unanswered };
 
-    /// Gives back the slot of a request. Requests that succeeded tell how long their route takes,
-    /// and so do failures that took longer: a target that fails at once is not a fast one.
+    /// Gives back the slot of a request. Requests that succeeded tell how long their route takes.
+    /// Others tell only if they took longer: a target that fails at once is not a fast one.
     void finish(std::uint64_t id, ending how, boot_time now);
 
     /// Forgets a waiting request whose caller has left.
--- a/libraries/mesh/target_selector.cpp
+++ b/libraries/mesh/target_selector.cpp
@@ -240,4 +240,10 @@
     }
 }
 
+void target_selector::observe_unanswered(std::string const& instance, std::string const& route,
+                                         milliseconds waited, boot_time now) {
+    auto& known = this->self->states[instance].route_times[route];
+    known = {std::max(known.mean, waited), now};
+}
+
 } // namespace peridot
--- a/libraries/mesh/target_selector.h
+++ b/libraries/mesh/target_selector.h
@@ -57,6 +57,9 @@
     /// Takes note of what a member tells of its load and of its time for requests of the route.
     void observe_load(std::string const& instance, std::string const& route, gate_load const& load,
                       boot_time now);
+    /// A request of the route has waited for the member's answer this long, in vain so far.
+    void observe_unanswered(std::string const& instance, std::string const& route,
+                            milliseconds waited, boot_time now);
 
 private:
     class implementation;
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -16,6 +16,8 @@
 #include "sidecar/sidecar_metrics.h"
 #include "sidecar/target_gate.h"
 
+#include <boost/asio/this_coro.hpp>
+
 #include <algorithm>
 #include <optional>
 
@@ -76,11 +78,14 @@
         /// Times that the request reached a target.
         unsigned sends = 0;
         bool may_have_run = false;
+        /// The caller has left, or the node stops.
+        bool is_cancelled = false;
         std::optional<http_response> failure;
         milliseconds retry_after = no_target_retry_after;
         result_code reason = result_code::request_no_endpoint;
-        /// Members that were asked, and the last of them.
+        /// Members that were asked; the last of them and when.
         unsigned offers = 0;
+        boot_time offered;
         /// Offers that only told of a newer target.
         unsigned corrections = 0;
         std::string last_instance;
@@ -186,6 +191,7 @@
             }
             member const chosen = this->corrections.apply(*choice->chosen);
             ++routed.offers;
+            routed.offered = now;
             routed.last_instance = chosen.instance;
             routed.call.target_id = chosen.target.id;
             routed.call.finish_by = choice->limit == wait_limit::target_latency
@@ -198,6 +204,8 @@
                         {"in_time", choice->limit == wait_limit::target_latency},
                         {"refused_before", std::string(name(routed.reason))}});
             auto answer = co_await this->offer(chosen, routed);
+            auto const state = co_await asio::this_coro::cancellation_state;
+            routed.is_cancelled = state.cancelled() != asio::cancellation_type::none;
             auto final = std::visit(
                 [&](auto& outcome) {
                     return this->conclude(outcome, chosen, choice->limit, routed);
@@ -349,7 +357,16 @@
                                           wait_limit /*limit*/, routed_call& routed) {
         ++routed.sends;
         routed.may_have_run = true;
-        bool const is_expired = boot_clock::now() >= routed.call.deadline;
+        auto const now = boot_clock::now();
+        this->selector.observe_unanswered(
+            chosen.instance, routed.call.route,
+            std::chrono::duration_cast<milliseconds>(now - routed.offered), now);
+        if (routed.is_cancelled) {
+            // The exchange was ended from this side, which says only how long it lasted.
+            routed.reason = result_code::request_cancelled;
+            return this->give_up(routed);
+        }
+        bool const is_expired = now >= routed.call.deadline;
         this->observe(chosen,
                       is_expired ? target_observation::failed : target_observation::unreachable);
         routed.attempts.excluded.insert(chosen.instance);
--- a/tests/mesh/gate_queue_test.cpp
+++ b/tests/mesh/gate_queue_test.cpp
@@ -257,3 +257,20 @@
     }
     CHECK(queue.load("old", begin).service_time > 2 * expected);
 }
+
+// Guards against a target that has become slow and is taken for fast until its first slow answer:
+// its callers leave before (kcg-mesh-grown inc-33af, 170 requests unanswered in 4 s at targets five
+// times as slow as usual).
+TEST(gate_queue, running_requests_show_that_a_target_has_become_slow) {
+    queue.set_slots(12);
+    teach("old", milliseconds(200), begin);
+    for (std::uint64_t id = 1001; id <= 1008; ++id) {
+        queue.offer(request(id, "old", begin, seconds(2), seconds(2)), begin);
+    }
+    auto const later = begin + milliseconds(900);
+    CHECK(queue.load("old", later).service_time == milliseconds(900));
+    for (std::uint64_t id = 1001; id <= 1008; ++id) {
+        queue.finish(id, gate_queue::ending::unanswered, later);
+    }
+    CHECK(queue.load("old", later).service_time > milliseconds(500));
+}
--- a/tests/mesh/target_selector_test.cpp
+++ b/tests/mesh/target_selector_test.cpp
@@ -152,6 +152,18 @@
     STRCMP_EQUAL("near", chosen(begin, nothing).c_str());
 }
 
+// Guards against requests that go to a slow target again and again, because their callers leave
+// before it answers and its time stays unknown (kcg-mesh-grown inc-33af).
+TEST(target_selector, target_that_leaves_requests_unanswered_is_slow) {
+    member fast = make_member("fast", "zone-a");
+    all = {&near, &fast};
+    tell_time("fast", milliseconds(200), begin);
+    selector.observe_unanswered("near", route, milliseconds(1300), begin);
+    for (int round = 0; round < 20; ++round) {
+        STRCMP_EQUAL("fast", chosen(begin, nothing).c_str());
+    }
+}
+
 // Guards against a target that was slow after its start and gets no request any more.
 TEST(target_selector, slow_target_is_tried_again_after_a_while) {
     member fast = make_member("fast", "zone-a");
