build: configure only the programs that a build names

Users saw: on machines that hold only the packages listed in deploy/system.toml, the build ended while configuring: "Could not find NNG_LIBRARY using the following names: nng".

Cause: configuring the sidecar configured every library, program, test and benchmark of the project. benchmarks/transport_footprint searches for libnng, which nothing in the product links. libnng-dev stood only in meta/install-packages; meta/check runs where that script has run, and nothing compared the two lists with what the build uses.

Evidence: reproduced on a machine with the fifteen listed packages and without libnng-dev: the same lines after 0.7 s.

Ruled out: naming libnng-dev in the list. The build would then go on depending on the tests and benchmarks, and the next one of their packages would break it again.

Fix: PERIDOT_PROGRAMS names the programs to build, and a library is configured when a program first links it, so no test, benchmark or other program is looked at.

Test: meta/check traces the build of a copy without tests/ and benchmarks/ and judges the files that it finds, reads and runs against the list, its dependencies and Debian's essential packages.

--- a/meta/cmake/peridot.cmake
+++ b/meta/cmake/peridot.cmake
@@ -1,5 +1,21 @@
+# Configures the libraries of the project among the arguments that are not configured yet: a build has
+# only the libraries that its programs link.
+function(peridot_require)
+    foreach(dependency ${ARGN})
+        if(TARGET ${dependency} OR NOT dependency MATCHES "^peridot_(.+)$")
+            continue()
+        endif()
+        set(directory libraries/${CMAKE_MATCH_1})
+        if(dependency STREQUAL peridot_adapter)
+            set(directory platform)
+        endif()
+        add_subdirectory(${PROJECT_SOURCE_DIR}/${directory} ${PROJECT_BINARY_DIR}/${directory})
+    endforeach()
+endfunction()
+
 # Adds libraries/<name> as the static library peridot_<name>; the arguments after it are link dependencies.
 function(peridot_library name)
+    peridot_require(${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS
         ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp ${CMAKE_CURRENT_SOURCE_DIR}/*.cc
         ${CMAKE_CURRENT_SOURCE_DIR}/commands/*.cpp ${CMAKE_CURRENT_SOURCE_DIR}/queries/*.cpp)
@@ -10,6 +26,7 @@
 
 # Adds the program <name> from the sources of the current directory.
 function(peridot_program name)
+    peridot_require(${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
     add_executable(${name} ${sources})
     target_link_libraries(${name} PRIVATE ${ARGN})
--- /dev/null
+++ b/tests/build_packages/build_trace.py
@@ -0,0 +1,105 @@
+"""Runs the deployment's build under strace, in a copy of the checkout without its tests, and lists what it uses."""
+
+import os
+import pathlib
+import re
+import shutil
+import subprocess
+
+from package_database import link_chain
+
+# The parts of a checkout that a build for deployment must do without.
+LEFT_OUT = ("tests/", "benchmarks/")
+
+# What the kernel provides belongs to no package.
+KERNEL_FILES = ("/dev/", "/proc/", "/sys/")
+
+# Calls that look for a file, read it or run it. A library that is only found counts as used, because the
+# configuration of the build depends on it.
+FILE_CALLS = "open,openat,openat2,execve,execveat,stat,lstat,newfstatat,statx,access,faccessat,faccessat2"
+
+FILE_CALL = re.compile(r'^\w+\((?:(?:AT_FDCWD|\d+)<([^>]*)>, )?"((?:[^"\\]|\\.)*)"')
+CONNECTION = re.compile(r"^connect\(.*sa_family=AF_INET")
+WRITE_FLAGS = re.compile(r"O_WRONLY|O_RDWR|O_CREAT")
+
+
+class BuildFailed(Exception):
+    """The build ended with an error; the message holds the end of its output."""
+
+
+class BuildUse:
+    """What one build used: files that it found, read or ran, files that it wrote, and connections."""
+
+    def __init__(self):
+        self.found = set()
+        self.written = set()
+        self.connections = set()
+
+    def add_trace(self, lines):
+        for line in lines:
+            # A connection counts even if it fails; a path that is searched in vain does not.
+            if CONNECTION.match(line):
+                self.connections.add(line.strip())
+                continue
+            if " = -1 " in line:
+                continue
+            call = FILE_CALL.match(line)
+            if call is None:
+                continue
+            path = os.path.join(call[1] or "", call[2])
+            # access and execve name no directory; what they find by a relative path is in the copy.
+            if not path.startswith("/"):
+                continue
+            if line.startswith("open") and WRITE_FLAGS.search(line):
+                self.written.add(os.path.normpath(path))
+            else:
+                self.found.add(path)
+
+    def system_files(self, copy):
+        """Files outside the copy of the checkout, with the links that lead to them."""
+        files = set()
+        for path in self.found:
+            if path.startswith(f"{copy}/") or not os.path.isfile(path):
+                continue
+            files.update(link_chain(path))
+        return {path for path in files if not path.startswith(KERNEL_FILES)}
+
+    def stray_writes(self, copy):
+        """Files written outside the copy's target/ directory."""
+        allowed = (f"{copy}/checkout/target/", f"{copy}/temporary/", f"{copy}/home/", "/dev/")
+        return {path for path in self.written if not path.startswith(allowed)}
+
+
+def copy_checkout(root, checkout):
+    listed = subprocess.run(["git", "-C", root, "ls-files", "-z", "--cached", "--others", "--exclude-standard"],
+                            check=True, capture_output=True, text=True).stdout
+    for name in filter(None, listed.split("\0")):
+        source = root / name
+        if name.startswith(LEFT_OUT) or not source.is_file():
+            continue
+        (checkout / name).parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy2(source, checkout / name)
+
+
+def trace_build(root, command, copy):
+    """Runs the build command on a copy of root and returns its use of files."""
+    copy = pathlib.Path(copy)
+    checkout = copy / "checkout"
+    for directory in ("checkout", "trace", "temporary", "home"):
+        (copy / directory).mkdir()
+    copy_checkout(root, checkout)
+    # Nothing of the caller's environment can lend the build a tool, a compiler cache or a library.
+    environment = {"PATH": "/usr/local/sbin:/usr/local/bin:/usr/sbin:/usr/bin:/sbin:/bin", "LANG": "C.UTF-8",
+                   "HOME": str(copy / "home"), "TMPDIR": str(copy / "temporary")}
+    build = subprocess.run(
+        ["strace", "-ff", "-qq", "-y", "--seccomp-bpf", "-e", f"trace={FILE_CALLS},connect",
+         "-o", str(copy / "trace" / "process"), "--", "sh", "-c", command],
+        cwd=checkout, env=environment, stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+        text=True, errors="replace")
+    if build.returncode != 0:
+        raise BuildFailed(build.stdout[-2000:])
+    use = BuildUse()
+    for trace in (copy / "trace").iterdir():
+        with trace.open(errors="replace") as lines:
+            use.add_trace(lines)
+    return use
