sidecar: drop unfinished requests before the parts that they use

Cause: a planned stop that reaches its limit with requests of other nodes still at the target left run() with suspended coroutines. The io_context destroys them, and it is destroyed after the gate. Their variables then gave slots back to the destroyed gate's queue, which looped there and took ever more memory.

In a process test with 12 such requests the node does not end within 60 s; its stack is place::~place, gate_queue::dispatch, free_slots, below ~io_context. Ruled out: a slow processor (the loop has no end), a control thread that does not join (it had ended).

Fix: work_context destroys the pending work after both threads have ended and before any part goes, so destructors find the parts that they use.

Test: sidecar.stop_ends_while_requests_of_other_nodes_take_longer failed before (61.9 s, no exit), passes after (3 of 3, 6.9 s each).

--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "core/rcu_cell.h"
+#include "core/work_context.h"
 #include "http/connection_pool.h"
 #include "http/http_server.h"
 #include "mesh/mesh_configuration.h"
@@ -162,6 +163,10 @@
         this->data_context.run();
         this->control_context.stop();
         control.join();
+        // Requests that outlast the stop give their slots back to the gate, which must still be
+        // there.
+        this->data_context.drop_work();
+        this->control_context.drop_work();
     }
 
 private:
@@ -356,8 +361,8 @@
 
     sidecar_settings settings;
     deployment_bounds bounds;
-    asio::io_context data_context{1};
-    asio::io_context control_context{1};
+    work_context data_context{1};
+    work_context control_context{1};
     rcu_cell<fleet_view> views;
     connection_pool connections;
     connection_pool control_connections;
--- a/tests/processes/sidecar/sidecar_test.cpp
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -350,6 +350,30 @@
     CHECK(caller.node->exit_code() == 0);
 }
 
+// Guards against a process that never ends its stop, because requests of other nodes are still at
+// its target while others wait for a slot (zampa-mesh trouble-2).
+TEST(sidecar, stop_ends_while_requests_of_other_nodes_take_longer) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& target = fleet.add("deposits");
+    CHECK(becomes_served(caller, "/get/1"));
+    auto const before = target.target->ran();
+    target.target->set_work(seconds(12));
+    std::vector<std::thread> long_requests;
+    for (int index = 0; index < 12; ++index) {
+        long_requests.emplace_back(
+            [&] { fleet.call(caller, "/get/1", next_attempt(), seconds(10)); });
+    }
+    bool const are_at_the_target = wait_until([&] { return target.target->ran() >= before + 8; });
+    target.node->send(SIGTERM);
+    bool const ends_by_itself = target.node->exit_code() == 0;
+    for (auto& thread : long_requests) {
+        thread.join();
+    }
+    CHECK(are_at_the_target);
+    CHECK(ends_by_itself);
+}
+
 // Guards against requests that are held to the end of their time at a target that leaves what it
 // runs without an answer.
 TEST(sidecar, waiting_request_is_refused_while_the_target_hangs) {
