mesh: look a candidate's time up once in a choice

target_selector looked up each candidate's time for the route three times: for the fastest of the own zone, for the fastest of the others, and for its own slowness. One survey of the candidates now gathers what all three need. The struct route_time and the function of the same name are service_time and expectation. No decision changes; the tests of target_selector are as before and pass.

--- a/libraries/mesh/target_selector.cpp
+++ b/libraries/mesh/target_selector.cpp
@@ -49,11 +49,11 @@
         milliseconds pause{0};
         failure_share failures;
         /// Time of the target for requests of each route, and when it was told.
-        struct route_time {
+        struct service_time {
             milliseconds mean{0};
             boot_time seen;
         };
-        std::unordered_map<std::string, route_time> route_times;
+        std::unordered_map<std::string, service_time> service_times;
 
         // How full the target is beyond the part that does no harm, from 0 to 1.
         double crowding() const {
@@ -82,39 +82,63 @@
         return candidate.availability_zone == this->availability_zone;
     }
 
-    // The time to expect of the target for a request of the route; no value while it is not known.
-    static std::optional<nanoseconds> route_time(member_state const& state,
-                                                 std::string const& route) {
-        auto const found = state.route_times.find(route);
-        if (found == state.route_times.end()) {
+    // What to expect of a target for requests of a route.
+    struct expected_time {
+        nanoseconds time;
+        boot_time seen;
+    };
+
+    // No value while the target's time for the route is not known.
+    static std::optional<expected_time> expectation(member_state const& state,
+                                                    std::string const& route) {
+        auto const found = state.service_times.find(route);
+        if (found == state.service_times.end()) {
             return std::nullopt;
         }
-        std::chrono::duration<double, std::nano> const time = found->second.mean;
-        return std::chrono::duration_cast<nanoseconds>(time * (1 + state.crowding()));
+        std::chrono::duration<double, std::nano> const mean = found->second.mean;
+        auto const time = std::chrono::duration_cast<nanoseconds>(mean * (1 + state.crowding()));
+        return expected_time{time, found->second.seen};
     }
 
-    // The shortest time that a target of the own zone, or of the other ones, is known to take.
-    nanoseconds fastest(std::vector<member const*> const& candidates, std::string const& route,
-                        bool in_own_zone) {
-        auto least = nanoseconds::max();
+    struct candidate_state {
+        member const* candidate;
+        member_state const& state;
+        std::optional<expected_time> expected;
+        bool is_near;
+    };
+
+    // What is known of all candidates, and the shortest time that a target of the own zone, or of
+    // the other ones, is known to take.
+    struct candidate_survey {
+        std::vector<candidate_state> candidates;
+        nanoseconds fastest_near = nanoseconds::max();
+        nanoseconds fastest_far = nanoseconds::max();
+    };
+
+    candidate_survey survey(std::vector<member const*> const& candidates,
+                            std::string const& route) {
+        candidate_survey surveyed;
         for (auto const* candidate : candidates) {
-            if (this->is_near(*candidate) == in_own_zone) {
-                auto const time = route_time(this->states[candidate->instance], route);
-                least = std::min(least, time.value_or(nanoseconds::max()));
+            auto const& state = this->states[candidate->instance];
+            auto const expected = expectation(state, route);
+            bool const is_near = this->is_near(*candidate);
+            if (expected) {
+                auto& fastest = is_near ? surveyed.fastest_near : surveyed.fastest_far;
+                fastest = std::min(fastest, expected->time);
             }
+            surveyed.candidates.push_back({candidate, state, expected, is_near});
         }
-        return least;
+        return surveyed;
     }
 
     // By how much the target is slower than the fastest one; one that is not known yet is not.
-    static nanoseconds slowness(member_state const& state, std::string const& route,
-                                nanoseconds fastest, boot_time now) {
-        auto const time = route_time(state, route);
-        if (!time) {
+    static nanoseconds slowness(std::optional<expected_time> const& expected, nanoseconds fastest,
+                                boot_time now) {
+        if (!expected) {
             return nanoseconds(0);
         }
-        std::chrono::duration<double> const age = now - state.route_times.at(route).seen;
-        std::chrono::duration<double> const excess = *time - fastest;
+        std::chrono::duration<double> const age = now - expected->seen;
+        std::chrono::duration<double> const excess = expected->time - fastest;
         auto const remaining = excess * std::exp2(-age / slowness_half_life);
         return std::chrono::duration_cast<nanoseconds>(remaining * slowness_weight);
     }
@@ -151,6 +175,8 @@
                                                      std::string const& route,
                                                      attempts const& so_far, boot_time now,
                                                      random_source& random) {
+    auto& own = *this->self;
+    auto const surveyed = own.survey(candidates, route);
     struct option {
         member const* candidate;
         nanoseconds cost;
@@ -159,14 +185,10 @@
     std::vector<option> options;
     member const* last_resort = nullptr;
     boot_time earliest = boot_time::max();
-    // Compared within the own zone and among the others, speed is no reason to leave a zone.
-    auto const fastest_near = this->self->fastest(candidates, route, true);
-    auto const fastest_far = this->self->fastest(candidates, route, false);
-    for (auto const* candidate : candidates) {
+    for (auto const& [candidate, state, expected, is_near] : surveyed.candidates) {
         if (so_far.excluded.contains(candidate->instance)) {
             continue;
         }
-        auto const& state = this->self->states[candidate->instance];
         if (state.paused_until > now) {
             if (state.paused_until < earliest) {
                 earliest = state.paused_until;
@@ -175,10 +197,10 @@
             continue;
         }
         bool const is_busy = so_far.busy.contains(candidate->instance) || state.busy_until > now;
-        auto const fastest = this->self->is_near(*candidate) ? fastest_near : fastest_far;
-        auto const slowness = implementation::slowness(state, route, fastest, now);
-        options.push_back(
-            {candidate, this->self->cost(*candidate, slowness, now, random), is_busy});
+        // Compared within the own zone and among the others, speed is no reason to leave a zone.
+        auto const fastest = is_near ? surveyed.fastest_near : surveyed.fastest_far;
+        auto const slowness = implementation::slowness(expected, fastest, now);
+        options.push_back({candidate, own.cost(*candidate, slowness, now, random), is_busy});
     }
     std::ranges::sort(options, {}, &option::cost);
     for (auto const& [candidate, cost, is_busy] : options) {
@@ -236,13 +258,13 @@
     state.load_seen = now;
     state.failures.set(load.failures, now);
     if (load.service_time.count() > 0) {
-        state.route_times[route] = {load.service_time, now};
+        state.service_times[route] = {load.service_time, now};
     }
 }
 
 void target_selector::observe_unanswered(std::string const& instance, std::string const& route,
                                          milliseconds waited, boot_time now) {
-    auto& known = this->self->states[instance].route_times[route];
+    auto& known = this->self->states[instance].service_times[route];
     known = {std::max(known.mean, waited), now};
 }
 
