sidecar: call a failing store less often where others report its return

Cause: nodes that rely on the leading nodes of their availability zone began their tries at 100 ms like the leading ones.

Ruled out: letting only one table's feed try while the other rests. The try that finds the store again waits there up to 25 s for a change, so the other table would stay behind.

Fix: store_backoff holds the pauses. A relying node waits 1 to 2 s after its first failure and 2 to 4 s later; leading nodes keep their pauses, so the return is noticed within a second as before.

Test: mesh.store_backoff, two of its four tests failed with the pauses of before.

--- a/libraries/mesh/row_source_selector.cpp
+++ b/libraries/mesh/row_source_selector.cpp
@@ -163,18 +163,20 @@
            });
 }
 
-bool row_source_selector::is_leading() const {
+store_role row_source_selector::role() const {
     auto const& own = *this->self;
     auto const zone = own.by_zone.find(own.availability_zone);
     if (zone == own.by_zone.end()) {
-        return true;
+        return store_role::leading;
     }
     auto const place =
         std::ranges::find_if(zone->second, [&own](implementation::candidate const& known) {
             return known.node.instance == own.instance;
         });
-    return place == zone->second.end() ||
-           static_cast<std::size_t>(place - zone->second.begin()) < most_passed_over;
+    bool const is_leading =
+        place == zone->second.end() ||
+        static_cast<std::size_t>(place - zone->second.begin()) < most_passed_over;
+    return is_leading ? store_role::leading : store_role::relying;
 }
 
 } // namespace peridot
--- a/libraries/mesh/row_source_selector.h
+++ b/libraries/mesh/row_source_selector.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "mesh/row_source.h"
 #include "mesh/source_observation.h"
+#include "mesh/store_role.h"
 
 #include <memory>
 #include <optional>
@@ -47,9 +48,8 @@
     /// Whether other nodes of the availability zone are known.
     bool knows_others() const;
 
-    /// Whether the node is among the first of its availability zone. These try a lost store often,
-    /// so that the others need not.
-    bool is_leading() const;
+    /// The first nodes of an availability zone lead.
+    store_role role() const;
 
 private:
     class implementation;
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -34,10 +34,6 @@
 
 namespace asio = boost::asio;
 
-// Pauses between calls to a store that does not answer. The first nodes of an availability zone try
-// it often and tell the others.
-constexpr milliseconds longest_leading_pause{1000};
-constexpr milliseconds longest_other_pause{4000};
 // How long a question about rows is kept back. A node that freezes meanwhile delays the rows by
 // this and the margin, which must stay well below the time for a configuration to be in force.
 constexpr milliseconds question_hold{500};
@@ -194,8 +190,7 @@
             while (!self->follows_store) {
                 co_await self->role_changed.async_wait(asio::as_tuple(asio::use_awaitable));
             }
-            auto const step = co_await feed.step(self->sources.is_leading() ? longest_leading_pause
-                                                                            : longest_other_pause);
+            auto const step = co_await feed.step(self->sources.role());
             if (step == table_feed::step_kind::read_whole) {
                 co_await self->wait_after_reading(feed);
             }
--- a/libraries/sidecar/table_feed.cpp
+++ b/libraries/sidecar/table_feed.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "core/random_source.h"
+#include "mesh/store_backoff.h"
 #include "platform/store_client.h"
 #include "sidecar/row_conversion.h"
 
@@ -22,7 +23,6 @@
 constexpr milliseconds feed_wait{25'000};
 // Changes in quick succession are read together.
 constexpr milliseconds feed_pause{450};
-constexpr milliseconds first_backoff{100};
 // Without an answer of the store for this long, it counts as out.
 constexpr milliseconds store_patience{700};
 // A failure says nothing about the store after this long.
@@ -35,11 +35,11 @@
     implementation(asio::io_context& io, store_client& client, std::string name, handlers receivers)
         : context(io), store(client), table(std::move(name)), receive(std::move(receivers)) {}
 
-    asio::awaitable<step_kind> step(milliseconds longest_pause) {
+    asio::awaitable<step_kind> step(store_role role) {
         bool const is_reading = this->must_read;
         bool const is_done = is_reading ? co_await this->read() : co_await this->follow();
         if (!is_done) {
-            co_await this->pause(this->next_backoff(longest_pause));
+            co_await this->pause(this->backoff.next(role, this->random));
             co_return step_kind::failed;
         }
         if (is_reading) {
@@ -102,7 +102,7 @@
     }
 
     void note_success(milliseconds store_time) {
-        this->backoff = milliseconds(0);
+        this->backoff.reset();
         if (this->failing_since) {
             this->failing_since.reset();
             log::write(log::level::info, "store_regained", {{"table", this->table}});
@@ -110,12 +110,6 @@
         this->receive.note_store_time(store_time);
     }
 
-    milliseconds next_backoff(milliseconds longest) {
-        this->backoff = std::clamp(this->backoff * 2, first_backoff, longest);
-        return milliseconds(std::uniform_int_distribution<std::int64_t>(
-            this->backoff.count() / 2, this->backoff.count())(this->random));
-    }
-
     asio::awaitable<void> pause(milliseconds time) {
         asio::steady_timer timer(this->context, time);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -129,7 +123,7 @@
     std::uint64_t revision = 0;
     std::optional<steady_time> failing_since;
     steady_time failed_at;
-    milliseconds backoff{0};
+    store_backoff backoff;
     random_source random = make_random_source();
 };
 
@@ -140,8 +134,8 @@
 
 table_feed::~table_feed() = default;
 
-asio::awaitable<table_feed::step_kind> table_feed::step(milliseconds longest_pause) {
-    return this->self->step(longest_pause);
+asio::awaitable<table_feed::step_kind> table_feed::step(store_role role) {
+    return this->self->step(role);
 }
 
 void table_feed::skip_to(std::uint64_t revision) {
--- a/libraries/sidecar/table_feed.h
+++ b/libraries/sidecar/table_feed.h
@@ -3,6 +3,7 @@
 #include "core/result.h"
 #include "core/time.h"
 #include "mesh/replica_row.h"
+#include "mesh/store_role.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -40,8 +41,8 @@
     enum class step_kind : std::uint8_t { read_whole, followed, failed };
 
     /// Makes one step: reads the table as a whole, or waits for its next changes. After a failure
-    /// the step lasts for a pause, up to the longest one, which grows with each failure.
-    boost::asio::awaitable<step_kind> step(milliseconds longest_pause);
+    /// the step lasts for a pause, which grows with each failure.
+    boost::asio::awaitable<step_kind> step(store_role role);
 
     /// Takes note of rows that were learnt elsewhere and are complete up to the revision.
     void skip_to(std::uint64_t revision);
--- a/tests/mesh/row_source_selector_test.cpp
+++ b/tests/mesh/row_source_selector_test.cpp
@@ -131,10 +131,10 @@
 
 // Guards against every node trying a lost store as often as the few that tell the others.
 TEST(row_source_selector, first_nodes_of_an_availability_zone_are_leading) {
-    CHECK_FALSE(selector.is_leading());
+    CHECK(selector.role() == store_role::relying);
     row_source_selector leading("a-1", "a");
     leading.set_members(view);
-    CHECK(leading.is_leading());
+    CHECK(leading.role() == store_role::leading);
 }
 
 // Guards against members that are gone but still counted as sources.
