sidecar: bound each wait on the store's feed to notice a silent store

Cause: the store turned away the following node of each availability zone without a word. A feed call waited 25 s, keep-alive probes of the connection were answered, and the comparison between zones had only silent followers to ask.

Class of fault: silence taken for 'no news'. A leading node's call now waits 0.8 s (members: 5 s), so that a response is due within a known time. A node that follows only for want of a peer waits longer, because all nodes do so when a feed is cut for all.

--- a/libraries/mesh/row_source_selector.cpp
+++ b/libraries/mesh/row_source_selector.cpp
@@ -34,6 +34,8 @@
     struct pause_state {
         steady_time until;
         milliseconds length{0};
+        /// Whether the node responded that it had lost the store.
+        bool has_lost_store = false;
     };
 
     static bool is_preferred(candidate const& first, candidate const& second) {
@@ -43,9 +45,10 @@
         return first.node.instance < second.node.instance;
     }
 
-    bool is_paused(std::string const& name, steady_time now) const {
+    // Returns the pause of the node, or a null pointer if the node may be selected.
+    pause_state const* find_pause(std::string const& name, steady_time now) const {
         auto const found = this->pauses.find(name);
-        return found != this->pauses.end() && found->second.until > now;
+        return found != this->pauses.end() && found->second.until > now ? &found->second : nullptr;
     }
 
     std::string instance;
@@ -95,11 +98,12 @@
         this->self->pauses.erase(instance);
         break;
     case source_observation::stale:
-        pause = {now + stale_pause, milliseconds(0)};
+        pause = {now + stale_pause, milliseconds(0), true};
         break;
     case source_observation::unreachable:
         pause.length = std::clamp(pause.length * 2, initial_pause, longest_pause);
         pause.until = now + pause.length;
+        pause.has_lost_store = false;
         break;
     }
 }
@@ -114,18 +118,23 @@
     if ((impl.demanded_until > now && !is_store_unavailable) || zone == impl.by_zone.end()) {
         return store_source{};
     }
+    bool const may_follow = !is_store_unavailable;
+    bool const is_leading = this->role() == store_role::leading;
     std::size_t skipped = 0;
+    bool is_replacement = false;
     for (auto const& [node, share] : zone->second) {
         bool const is_self = node.instance == impl.instance;
-        if ((is_self && !is_store_unavailable) || skipped == max_skipped_nodes) {
+        if ((may_follow && (is_self || is_replacement)) || skipped == max_skipped_nodes) {
             break;
         }
         if (is_self) {
             continue;
         }
-        if (!impl.is_paused(node.instance, now)) {
+        auto const* pause = impl.find_pause(node.instance, now);
+        if (pause == nullptr) {
             return node;
         }
+        is_replacement |= is_leading && pause->has_lost_store;
         ++skipped;
     }
     return store_source{};
@@ -147,7 +156,7 @@
             continue;
         }
         for (auto const& [node, share] : impl.by_zone.at(zone)) {
-            if (!impl.is_paused(node.instance, now)) {
+            if (impl.find_pause(node.instance, now) == nullptr) {
                 return node;
             }
         }
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -40,6 +40,13 @@
 constexpr milliseconds comparison_wait{1000};
 constexpr milliseconds answer_margin{700};
 constexpr milliseconds peer_connect_timeout{250};
+// How long the store waits for a change before it responds without one. A store that has gone
+// silent is detected after this time, which together with the search for another source must stay
+// below the time limit for a configuration to take effect. The members' table may wait longer,
+// because a silent store is detected with the operator's table and each gate acts on its own target
+// without the store.
+constexpr milliseconds configuration_wait{800};
+constexpr milliseconds members_wait{5000};
 // Changes that arrive in quick succession are applied together.
 constexpr milliseconds peer_batch_pause{100};
 // Interval between queries to arbitrary nodes while no node that follows the feed is available.
@@ -81,9 +88,8 @@
               })
         , writer(pool, client, settings.control_port)
         , search(settings.ip, settings.availability_zone) {
-        for (auto const table : {store_keys::operator_table, fleet_keys::table}) {
-            this->feeds.emplace(table, this->make_feed(std::string(table)));
-        }
+        this->add_feed(std::string(store_keys::operator_table), configuration_wait);
+        this->add_feed(std::string(fleet_keys::table), members_wait);
     }
 
     void start() {
@@ -176,7 +182,7 @@
     std::function<void()> handle_change;
 
 private:
-    std::unique_ptr<table_feed> make_feed(std::string const& table) {
+    void add_feed(std::string const& table, milliseconds changes_wait) {
         table_feed::handlers callbacks;
         callbacks.replace = [this, table](std::vector<replica_row> rows, std::uint64_t revision) {
             if (this->replica.replace_table(table, std::move(rows), revision) ||
@@ -188,8 +194,11 @@
         callbacks.observe_store_time = [this](milliseconds read) {
             this->observe_store_time(read);
         };
-        return std::make_unique<table_feed>(this->context, this->store, table,
-                                            std::move(callbacks));
+        // Nodes that wait here for changes select another source at once.
+        callbacks.store_lost = [this] { this->query_handler.notify(); };
+        this->feeds.emplace(table,
+                            std::make_unique<table_feed>(this->context, this->store, table,
+                                                         changes_wait, std::move(callbacks)));
     }
 
     // Follows a table whenever this node has to follow the store, until the process ends.
--- a/libraries/sidecar/table_feed.cpp
+++ b/libraries/sidecar/table_feed.cpp
@@ -20,11 +20,16 @@
 namespace asio = boost::asio;
 
 constexpr milliseconds read_timeout{1000};
-constexpr milliseconds changes_wait{25'000};
+// Longest time until the response to a call that does not wait; a store that responds more slowly
+// counts as silent.
+constexpr milliseconds max_round_trip{500};
 // Changes in quick succession are read together.
 constexpr milliseconds changes_pause{450};
 // The store counts as unavailable if it has not responded for this long.
 constexpr milliseconds outage_threshold{700};
+// A node that follows only because it found no usable peer calls the store less often: when a feed
+// is cut for all, every node of the fleet does so for a moment.
+constexpr milliseconds relying_wait{5000};
 // After this time, a failure no longer indicates the state of the store.
 constexpr milliseconds failure_validity{5000};
 
@@ -32,34 +37,36 @@
 
 class table_feed::implementation {
 public:
-    implementation(asio::io_context& io, store_client& client, std::string name, handlers callbacks)
-        : context(io), store(client), table(std::move(name)), callbacks(std::move(callbacks)) {}
+    implementation(asio::io_context& io, store_client& client, std::string name, milliseconds wait,
+                   handlers callbacks)
+        : context(io)
+        , store(client)
+        , table(std::move(name))
+        , changes_wait(wait)
+        , callbacks(std::move(callbacks)) {}
 
     asio::awaitable<step_kind> step(store_role role) {
-        bool const is_snapshot = this->needs_snapshot;
-        bool const is_success =
-            is_snapshot ? co_await this->read_snapshot() : co_await this->read_changes();
-        if (!is_success) {
+        auto const kind = this->needs_snapshot ? co_await this->read_snapshot()
+                                               : co_await this->read_changes(role);
+        if (kind == step_kind::failed) {
             co_await this->pause(this->backoff.next(role, this->random));
-            co_return step_kind::failed;
         }
-        if (is_snapshot) {
-            co_return step_kind::snapshot_read;
+        if (kind == step_kind::changes_read) {
+            co_await this->pause(changes_pause);
         }
-        co_await this->pause(changes_pause);
-        co_return step_kind::changes_read;
+        co_return kind;
     }
 
-    asio::awaitable<bool> read_snapshot() {
+    asio::awaitable<step_kind> read_snapshot() {
         std::vector<replica_row> rows;
         std::uint64_t as_of = 0;
         std::string from;
         for (;;) {
-            auto page = co_await this->store.read(this->table, from,
-                                                  std::chrono::steady_clock::now() + read_timeout);
+            auto const deadline = std::chrono::steady_clock::now() + read_timeout;
+            auto page = co_await this->store.read(this->table, from, deadline);
             if (!is_ok(page)) {
-                this->record_failure(failure(page));
-                co_return false;
+                this->record_failure(failure(page), deadline);
+                co_return step_kind::failed;
             }
             this->record_success(value(page).store_time);
             if (from.empty()) {
@@ -76,33 +83,56 @@
         this->needs_snapshot = false;
         this->revision = std::max(this->revision, as_of);
         this->callbacks.replace(std::move(rows), as_of);
-        co_return true;
+        co_return step_kind::snapshot_read;
     }
 
-    asio::awaitable<bool> read_changes() {
-        auto page = co_await this->store.changes(this->table, this->revision, changes_wait);
+    asio::awaitable<step_kind> read_changes(store_role role) {
+        auto const now = std::chrono::steady_clock::now();
+        auto const wait = role == store_role::leading ? this->leading_wait(now) : relying_wait;
+        auto const deadline = now + wait + max_round_trip;
+        auto page = co_await this->store.changes(this->table, this->revision, wait, deadline);
         if (!is_ok(page)) {
-            this->record_failure(failure(page));
+            this->record_failure(failure(page), deadline);
             this->needs_snapshot = failure(page).code == result_code::platform_history_gone;
             // The store is available; only its history does not reach back far enough.
-            co_return this->needs_snapshot;
+            co_return this->needs_snapshot ? step_kind::no_changes : step_kind::failed;
         }
         this->record_success(value(page).store_time);
         this->revision = std::max(this->revision, value(page).revision);
+        bool const has_rows = !value(page).rows.empty();
         this->callbacks.apply(to_replica_rows(std::move(value(page).rows)));
-        co_return true;
+        // A store that does not wait must not be called without a pause.
+        bool const has_waited = std::chrono::steady_clock::now() >= now + wait;
+        co_return has_rows || !has_waited ? step_kind::changes_read : step_kind::no_changes;
     }
 
-    void record_failure(error const& reason) {
-        this->failed_at = std::chrono::steady_clock::now();
-        if (!this->failing_since) {
-            this->failing_since = std::chrono::steady_clock::now();
+    // The wait ends at a fixed time after the last response, so that the next one is due then
+    // whatever this node did in between. Without a recent response the call does not wait.
+    milliseconds leading_wait(steady_time now) const {
+        return std::max(milliseconds(0), this->changes_wait - this->time_since_response(now));
+    }
+
+    void record_failure(error const& reason, steady_time deadline) {
+        auto const now = std::chrono::steady_clock::now();
+        bool const is_first = !this->failing_since;
+        this->failed_at = now;
+        this->failing_since = this->failing_since.value_or(now);
+        // A call that fails before its deadline may have met a single broken connection.
+        this->is_silent = now >= deadline;
+        if (is_first) {
             log::write(log::level::warning, "store_lost",
-                       {{"table", this->table}, {"reason", describe(reason)}});
+                       {{"table", this->table},
+                        {"reason", describe(reason)},
+                        {"silent_ms", this->time_since_response(now).count()}});
+        }
+        if (this->is_unavailable(now)) {
+            this->callbacks.store_lost();
         }
     }
 
     void record_success(milliseconds store_time) {
+        this->responded_at = std::chrono::steady_clock::now();
+        this->is_silent = false;
         this->backoff.reset();
         if (this->failing_since) {
             this->failing_since.reset();
@@ -111,6 +141,19 @@
         this->callbacks.observe_store_time(store_time);
     }
 
+    milliseconds time_since_response(steady_time now) const {
+        return std::chrono::duration_cast<milliseconds>(now - this->responded_at);
+    }
+
+    bool is_unavailable(steady_time now) const {
+        if (!this->failing_since || now - this->failed_at >= failure_validity) {
+            return false;
+        }
+        // Without any rows there is no reason to wait before falling back to another source.
+        bool const is_immediate = this->revision == 0 || this->is_silent;
+        return is_immediate || now - *this->failing_since >= outage_threshold;
+    }
+
     asio::awaitable<void> pause(milliseconds time) {
         asio::steady_timer timer(this->context, time);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -119,18 +162,23 @@
     asio::io_context& context;
     store_client& store;
     std::string table;
+    milliseconds changes_wait;
     handlers callbacks;
     bool needs_snapshot = true;
     std::uint64_t revision = 0;
+    /// Time of the store's last response; the start of the feed before the first one.
+    steady_time responded_at = std::chrono::steady_clock::now();
     std::optional<steady_time> failing_since;
     steady_time failed_at;
+    /// Whether the last call got no response until its deadline.
+    bool is_silent = false;
     store_backoff backoff;
     random_source random = make_random_source();
 };
 
 table_feed::table_feed(asio::io_context& context, store_client& store, std::string table,
-                       handlers callbacks)
-    : self(std::make_unique<implementation>(context, store, std::move(table),
+                       milliseconds changes_wait, handlers callbacks)
+    : self(std::make_unique<implementation>(context, store, std::move(table), changes_wait,
                                             std::move(callbacks))) {}
 
 table_feed::~table_feed() = default;
@@ -153,11 +201,7 @@
 }
 
 bool table_feed::is_unavailable(steady_time now) const {
-    auto const& state = *this->self;
-    // Without any rows there is no reason to wait before falling back to another source.
-    auto const threshold = state.revision == 0 ? milliseconds(0) : outage_threshold;
-    return state.failing_since && now - *state.failing_since >= threshold &&
-           now - state.failed_at < failure_validity;
+    return this->self->is_unavailable(now);
 }
 
 } // namespace peridot
--- a/libraries/sidecar/table_feed.h
+++ b/libraries/sidecar/table_feed.h
@@ -28,17 +28,22 @@
         /// Called with rows that have changed.
         std::function<void(std::vector<replica_row>)> apply;
         std::function<void(milliseconds)> observe_store_time;
+        /// Called when the store has stopped responding.
+        std::function<void()> store_lost;
     };
 
+    /// A leading node waits for a change at most for the given time. Each wait ends with a
+    /// response, so a leading node detects a silent store this time and one round trip later at the
+    /// latest.
     table_feed(boost::asio::io_context& context, store_client& store, std::string table,
-               handlers callbacks);
+               milliseconds changes_wait, handlers callbacks);
     ~table_feed();
     table_feed(table_feed const&) = delete;
     table_feed& operator=(table_feed const&) = delete;
     table_feed(table_feed&&) = delete;
     table_feed& operator=(table_feed&&) = delete;
 
-    enum class step_kind : std::uint8_t { snapshot_read, changes_read, failed };
+    enum class step_kind : std::uint8_t { snapshot_read, changes_read, no_changes, failed };
 
     /// Performs one step: reads the whole table, or waits for its next changes. A failed step
     /// includes a backoff that grows with each failure.
--- a/tests/mesh/row_source_selector_test.cpp
+++ b/tests/mesh/row_source_selector_test.cpp
@@ -112,6 +112,22 @@
     STRCMP_EQUAL("store", source_of(first, begin, true).c_str());
 }
 
+// Guards against a search for a served node that takes one timeout per node, when the store is
+// silent towards several leading nodes at once (deploy/days/store-turns-followers-away).
+TEST(row_source_selector, leading_nodes_replace_a_lost_follower_together) {
+    row_source_selector second("a-0", "a");
+    row_source_selector third("a-1", "a");
+    for (auto* each : {&second, &third}) {
+        each->set_members(view);
+        STRCMP_EQUAL("a-4", source_of(*each, begin).c_str());
+        each->observe("a-4", source_observation::stale, begin);
+        STRCMP_EQUAL("store", source_of(*each, begin).c_str());
+        STRCMP_EQUAL("a-4", source_of(*each, begin + milliseconds(1600)).c_str());
+    }
+    selector.observe("a-4", source_observation::stale, begin);
+    STRCMP_EQUAL("a-0", source_of(selector, begin).c_str());
+}
+
 // Guards against a node without known peers that waits for rows that no node sends.
 TEST(row_source_selector, node_without_peers_follows_the_store) {
     row_source_selector alone("x-1", "x");
--- a/tests/processes/mesh_support/store_standin.cpp
+++ b/tests/processes/mesh_support/store_standin.cpp
@@ -38,10 +38,13 @@
 class store_standin::implementation {
 public:
     explicit implementation(std::string const& ip)
-        : server(context,
-                 [this](http_request request) { return this->respond(std::move(request)); }) {
-        auto const bound = this->server.listen({ip, 0});
-        this->listening = peridot::value(bound);
+        : server(
+              context,
+              [this](http_request request) { return this->respond_at_first(std::move(request)); })
+        , second_server(
+              context, [this](http_request request) { return this->respond(std::move(request)); }) {
+        this->listening = peridot::value(this->server.listen({ip, 0}));
+        this->second_listening = peridot::value(this->second_server.listen({ip, 0}));
         this->thread = std::thread([this] { this->context.run(); });
     }
 
@@ -132,6 +135,16 @@
         return answer_with({{"SchemaVersion", this->revision}, {"NowS", this->now()}});
     }
 
+    asio::awaitable<http_response> respond_at_first(http_request request) {
+        auto answer = co_await this->respond(std::move(request));
+        asio::steady_timer timer(this->context);
+        while (this->is_silent) {
+            timer.expires_after(feed_poll);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        co_return answer;
+    }
+
     asio::awaitable<http_response> respond(http_request request) {
         if (this->is_unavailable) {
             http_response unavailable;
@@ -177,11 +190,14 @@
 
     asio::io_context context{1};
     http_server server;
+    http_server second_server;
     socket_address listening;
+    socket_address second_listening;
     std::thread thread;
     mutable std::mutex lock;
     std::map<row_key, stored_row> rows;
     std::uint64_t revision = 0;
+    std::atomic<bool> is_silent{false};
     std::atomic<bool> is_unavailable{false};
     std::atomic<bool> is_losing_answers{false};
     std::atomic<milliseconds> delay{milliseconds(0)};
@@ -196,6 +212,14 @@
     return this->self->listening;
 }
 
+socket_address store_standin::second_address() const {
+    return this->self->second_listening;
+}
+
+void store_standin::set_silent(bool is_silent) {
+    this->self->is_silent = is_silent;
+}
+
 void store_standin::put(std::string const& table, std::string const& key,
                         std::string const& value) {
     std::lock_guard const guard(this->self->lock);
--- a/tests/processes/mesh_support/store_standin.h
+++ b/tests/processes/mesh_support/store_standin.h
@@ -21,6 +21,8 @@
     store_standin& operator=(store_standin&&) = delete;
 
     socket_address address() const;
+    /// A second address at which the same store responds, whether or not the first one is silent.
+    socket_address second_address() const;
 
     /// Writes a row as the operator does.
     void put(std::string const& table, std::string const& key, std::string const& value);
@@ -28,6 +30,9 @@
     std::string value(std::string const& table, std::string const& key) const;
     /// Number of calls to the feed that wait for a change.
     int waiting_feeds() const;
+    /// While set, the first address accepts connections and calls but sends no responses, including
+    /// those to pending calls.
+    void set_silent(bool is_silent);
     /// While set, every call is answered with 503.
     void set_unavailable(bool is_unavailable);
     /// Delays each response.
--- a/tests/processes/sidecar/sidecar_test.cpp
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -247,6 +247,45 @@
     CHECK(wait_until_served(third, "/more2/1"));
 }
 
+// Guards against nodes that stay behind the store because the followers of all availability zones
+// take a silent store for one without changes (hunt-ea82-19;
+// deploy/days/store-turns-followers-away).
+TEST(sidecar, configuration_arrives_while_the_store_is_silent_towards_all_followers) {
+    // A multiple of the promised 2 s, because build machines can be slow. The silence used to last
+    // for the 26 s of a waiting call.
+    constexpr seconds arrival_limit{10};
+    fleet.configure(1);
+    std::vector<mesh_instance*> followers;
+    std::vector<mesh_instance*> served;
+    for (char const* zone : {"ariana", "ben-arous", "la-marsa"}) {
+        followers.push_back(&fleet.add("plants", {.availability_zone = zone}));
+    }
+    for (char const* zone : {"ariana", "ben-arous", "la-marsa"}) {
+        served.push_back(&fleet.add(
+            "deposits", {.availability_zone = zone, .store = fleet.store().second_address()}));
+    }
+    for (auto const* each : served) {
+        CHECK(wait_until_served(*each, "/get/1"));
+    }
+    // Each table has one feed per availability zone.
+    CHECK(wait_until([&] { return fleet.store().waiting_feeds() == 6; }));
+    fleet.store().set_silent(true);
+    fleet.configure(2, 2);
+    auto const acknowledged = std::chrono::steady_clock::now();
+    for (auto const* each : served) {
+        CHECK(wait_until_served(*each, "/more1/1"));
+    }
+    CHECK(std::chrono::steady_clock::now() - acknowledged < arrival_limit);
+    for (auto const* each : followers) {
+        CHECK(wait_until_served(*each, "/more1/1"));
+    }
+    fleet.store().set_silent(false);
+    fleet.configure(3, 3);
+    for (auto const* each : followers) {
+        CHECK(wait_until_served(*each, "/more2/1"));
+    }
+}
+
 // Guards against a request that is forwarded after its caller was notified that its deadline had
 // expired: the target's node is frozen while the request waits for it.
 TEST(sidecar, frozen_node_passes_no_expired_request_on) {
