moves: judge a late move until it has reached its last step

Cause: the judge stopped at the plan's deadline. The steering node could not write a step while the store was silent, so the roll-out was still at a share of 25 % when its deadline passed; from then on nobody judged it or took a step.

Class of fault: a guard that ends by the clock while what it guards goes on. A move is now judged at least until its last step; a roll-out until its phase ends, because its old targets stay until then. Once the deadline has passed, steps without evidence are at least the minimum step time apart; otherwise the remaining steps would all be due at once.

judge.late_moves_are_still_judged, judge.steps_of_a_late_move_take_their_minimum_time and rollout_plan.roll_out_is_judged_until_its_phase_ends failed on the code before.

--- a/libraries/mesh/rollout_plan.cpp
+++ b/libraries/mesh/rollout_plan.cpp
@@ -53,6 +53,8 @@
     settings.warm_up_divisor = warm_up_divisor;
     settings.minimum_calls_per_step = minimum_calls_per_step;
     settings.minimum_step_time = minimum_step_time;
+    // The old targets stay until the roll-out is complete or rolled back, however late that is.
+    settings.ends_after_watch = false;
     return settings;
 }
 
--- a/libraries/moves/judge.cpp
+++ b/libraries/moves/judge.cpp
@@ -137,14 +137,32 @@
                now >= *this->step_start + this->settings.minimum_step_time;
     }
 
+    bool is_last_step(move_state const& state) const {
+        return std::size_t{state.gate} + 1 >= this->plan.ramp.size();
+    }
+
+    // A move that is late or paused is judged for as long as both versions get requests.
+    bool has_ended(wall_time now, move_state const& state) const {
+        return this->settings.ends_after_watch && this->is_last_step(state) &&
+               now > this->plan.done_by + this->plan.watch;
+    }
+
+    // Whether the next step may be taken without enough evidence. The steps of a late move are at
+    // least the minimum time apart, so that a bad version does not get all requests at once.
+    bool is_overdue(wall_time now, std::size_t next) const {
+        bool const has_min_time = now >= *this->step_start + this->settings.minimum_step_time;
+        return now >= latest_step_time(this->plan, next) &&
+               (now <= this->plan.done_by || has_min_time);
+    }
+
     bool may_raise(wall_time now, move_state const& state) const {
         std::size_t const next = std::size_t{state.gate} + 1;
-        if (state.pause.paused || next >= this->plan.ramp.size() ||
+        if (state.pause.paused || this->is_last_step(state) ||
             now < this->plan.ramp[next].earliest ||
             this->e_value() >= this->settings.hold_threshold) {
             return false;
         }
-        return this->has_enough_evidence(now) || now >= latest_step_time(this->plan, next);
+        return this->has_enough_evidence(now) || this->is_overdue(now, next);
     }
 };
 
@@ -172,7 +190,7 @@
     if (self.decision) {
         return *self.decision;
     }
-    if (current.latch || now > self.plan.done_by + self.plan.watch) {
+    if (current.latch || self.has_ended(now, current)) {
         return no_change{};
     }
     // Before the start, the old version's calls are recorded as the baseline.
--- a/libraries/moves/judge_settings.h
+++ b/libraries/moves/judge_settings.h
@@ -21,6 +21,9 @@
     seconds minimum_step_time{5};
     /// While the e-value is at or above this, the step is not raised.
     double hold_threshold = 20;
+    /// Whether a move that has reached its last step is no longer judged after its watch time. The
+    /// false-alarm rate applies to each span of the planned duration if judging continues.
+    bool ends_after_watch = true;
 };
 
 } // namespace peridot
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -4,6 +4,8 @@
 #include "mesh/target_tracker.h"
 #include "mesh/version_share.h"
 #include "mesh/weighted_round_robin.h"
+#include "moves/evidence_counter.h"
+#include "moves/judge.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -264,6 +266,35 @@
     CHECK(plan.ramp.back().earliest <= plan.start + current.duration * 2 / 3);
 }
 
+// Guards against a bad version that keeps all requests because the judge stops at the deadline
+// while the roll-out cannot be completed (kcg-mesh, EXPOSURE).
+TEST(rollout_plan, roll_out_is_judged_until_its_phase_ends) {
+    auto const plan = make_rollout_plan(current);
+    judge decider(plan, "instance-1", 1, rollout_judge_settings());
+    evidence_counter counter;
+    move_state state;
+    state.gate = static_cast<std::uint32_t>(plan.ramp.size() - 1);
+    auto const run_until = [&](wall_time end, call_outcome outcome) {
+        for (auto now = end - seconds(10); now < end; now += milliseconds(100)) {
+            for (int call = 0; call < 5; ++call) {
+                counter.record("r", {target_side::new_version, call_attempt::first, outcome,
+                                     microseconds(20'000), 20});
+            }
+            auto const decided = decider.assess(now, state, counter.counts());
+            if (std::holds_alternative<take_back>(decided)) {
+                return true;
+            }
+        }
+        return false;
+    };
+    for (int call = 0; call < 200; ++call) {
+        counter.record("r", {target_side::old_version, call_attempt::first, call_outcome::succeeded,
+                             microseconds(20'000), 20});
+    }
+    CHECK_FALSE(run_until(plan.start + seconds(14), call_outcome::succeeded));
+    CHECK(run_until(plan.done_by + seconds(20), call_outcome::failed));
+}
+
 // Guards against old targets that are stopped as soon as the last step starts, even when the
 // duration is over: on zampa-mesh, a version that fails under load was completed 0.1 s after its
 // last step.
--- a/tests/moves/judge_test.cpp
+++ b/tests/moves/judge_test.cpp
@@ -242,6 +242,35 @@
     CHECK_EQUAL(4U, idle.state.gate);
 }
 
+// Guards against a bad version that keeps its share because its move is late (kcg-mesh, EXPOSURE:
+// the store could not be written until the deadline had passed).
+TEST(judge, late_moves_are_still_judged) {
+    judged_service service;
+    CHECK_FALSE(service.is_taken_back(40, 990, good, 10, good));
+    service.state.pause = {1, true, 0};
+    service.now = service.plan.done_by + service.plan.watch + seconds(10);
+    CHECK_FALSE(service.is_taken_back(10, 750, good, 250, good));
+    CHECK_TRUE(service.is_taken_back(60, 750, good, 250, failing));
+}
+
+// Guards against a late move that takes all remaining steps at once, without evidence on any.
+TEST(judge, steps_of_a_late_move_take_their_minimum_time) {
+    judged_service service;
+    service.now = service.plan.done_by + service.plan.watch;
+    std::vector<int> steps_at;
+    for (int second = 1; second <= 60; ++second) {
+        auto const decided = service.run_second(0, good, 0, good);
+        if (std::holds_alternative<step_raise>(decided)) {
+            steps_at.push_back(second);
+        }
+    }
+    UNSIGNED_LONGS_EQUAL(service.plan.ramp.size() - 1, steps_at.size());
+    auto const minimum = static_cast<int>(judge_settings{}.minimum_step_time.count());
+    for (std::size_t step = 1; step < steps_at.size(); ++step) {
+        CHECK_TRUE(steps_at[step] - steps_at[step - 1] >= minimum);
+    }
+}
+
 // Guards against a judge that raises the step while an operator has paused the move.
 TEST(judge, no_step_is_taken_during_a_pause) {
     judged_service service;
