mesh: keep a target's rate within the limit that it states

Every request to a target passes the gate beside it, so the gate alone can keep the limit of the whole fleet. The queue now spaces starts by the stated rate with a burst of a quarter of a second, counts the limit in the expected start of each request, and so refuses at once what cannot be served in time, with a time to return that follows from the rate. The expected wait that the gate reports makes other nodes prefer targets without a limit. A limit of zero lets one request in two seconds pass, since only a response shows that the limit is lifted.

--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -1,5 +1,7 @@
 #include "mesh/gate_queue.h"
 
+#include "mesh/request_pacer.h"
+
 #include <algorithm>
 #include <functional>
 #include <map>
@@ -129,40 +131,56 @@
             this->overall_mean.count() == 0 ? elapsed : moving_average(this->overall_mean, elapsed);
     }
 
-    // Predicted times at which the slots become free.
-    using slot_release_times =
-        std::priority_queue<boot_time, std::vector<boot_time>, std::greater<>>;
-    slot_release_times predict_slot_releases(boot_time now) const {
-        slot_release_times times;
+    // Predicted starts of the next requests: each takes the slot that becomes free first, and
+    // starts once the rate limit of the target allows it.
+    struct start_forecast {
+        using slot_release_times =
+            std::priority_queue<boot_time, std::vector<boot_time>, std::greater<>>;
+
+        slot_release_times releases;
+        request_pacer pacer;
+
+        boot_time next_start(boot_time now) const {
+            return this->pacer.earliest_start(std::max(now, this->releases.top()));
+        }
+
+        void reserve_start(boot_time at, nanoseconds service_time) {
+            this->releases.pop();
+            this->releases.push(at + service_time);
+            this->pacer.start(at);
+        }
+    };
+    start_forecast forecast_starts(boot_time now) const {
+        start_forecast forecast;
+        forecast.pacer = this->pacer;
         for (auto const& [id, request] : this->running) {
             auto const mean = this->mean_service_time(request.route);
             auto const elapsed = now - request.started;
-            times.push(now + std::max({mean - elapsed, fraction_of(mean, min_remaining_fraction),
-                                       fraction_of(elapsed, overrun_remaining_fraction)}));
+            forecast.releases.push(
+                now + std::max({mean - elapsed, fraction_of(mean, min_remaining_fraction),
+                                fraction_of(elapsed, overrun_remaining_fraction)}));
         }
         for (std::size_t index = this->running.size(); index < this->slots; ++index) {
-            times.push(now);
+            forecast.releases.push(now);
         }
-        return times;
+        return forecast;
     }
 
-    // Expected time at which the request gets a slot. Requests with a later rank do not affect it.
+    // Expected time at which the request starts. Requests with a later rank do not affect it.
     boot_time expected_start(gate_request const& request, boot_time now) const {
-        auto times = this->predict_slot_releases(now);
+        auto forecast = this->forecast_starts(now);
         auto const own_rank = this->rank(request, now);
         for (auto const& waiting : this->queue) {
             if (this->rank(waiting, now) <= own_rank) {
-                this->reserve_earliest_slot(times, waiting);
+                forecast.reserve_start(forecast.next_start(now),
+                                       this->mean_service_time(waiting.route));
             }
         }
-        return std::max(now, times.top());
+        return forecast.next_start(now);
     }
 
-    // Assigns the slot that becomes free first to the request.
-    void reserve_earliest_slot(slot_release_times& times, gate_request const& request) const {
-        auto const start = times.top();
-        times.pop();
-        times.push(start + this->mean_service_time(request.route));
+    bool can_start(boot_time now) const {
+        return this->running.size() < this->slots && this->pacer.earliest_start(now) <= now;
     }
 
     // Minimum time between the start of a request and its deadline; with less, the request is
@@ -174,6 +192,7 @@
 
     void start(gate_request const& request, boot_time now) {
         this->running.emplace(request.id, running_request{request.route, now});
+        this->pacer.start(now);
     }
 
     static gate_refusal overload_refusal(nanoseconds wait) {
@@ -189,6 +208,7 @@
     }
 
     unsigned slots = 0;
+    request_pacer pacer;
     std::optional<boot_time> stop_at;
     std::vector<gate_request> queue;
     std::unordered_map<std::uint64_t, running_request> running;
@@ -204,6 +224,10 @@
     this->self->slots = slots;
 }
 
+void gate_queue::set_rate_limit(std::optional<double> requests_per_second, boot_time now) {
+    this->self->pacer.set_rate(requests_per_second, now);
+}
+
 void gate_queue::set_stop_time(boot_time at) {
     this->self->stop_at = at;
 }
@@ -220,7 +244,7 @@
     if (impl.may_outlast_stop(request, now)) {
         return gate_refusal{result_code::request_draining, min_retry_after};
     }
-    if (impl.queue.empty() && impl.running.size() < impl.slots) {
+    if (impl.queue.empty() && impl.can_start(now)) {
         impl.start(request, now);
         return gate_start{};
     }
@@ -264,10 +288,10 @@
     dequeued_requests dequeued;
     std::ranges::sort(impl.queue, {},
                       [&](gate_request const& waiting) { return impl.rank(waiting, now); });
-    auto times = impl.predict_slot_releases(now);
+    auto forecast = impl.forecast_starts(now);
     std::vector<gate_request> still_waiting;
     for (auto& waiting : impl.queue) {
-        auto const start = times.top();
+        auto const start = forecast.next_start(now);
         if (impl.may_outlast_stop(waiting, start)) {
             dequeued.refused.emplace_back(
                 waiting.id, gate_refusal{result_code::request_draining, min_retry_after});
@@ -279,8 +303,8 @@
                                           implementation::overload_refusal(start - now));
             continue;
         }
-        impl.reserve_earliest_slot(times, waiting);
-        if (impl.running.size() < impl.slots) {
+        forecast.reserve_start(start, impl.mean_service_time(waiting.route));
+        if (impl.can_start(now)) {
             impl.start(waiting, now);
             dequeued.started.push_back(waiting.id);
         } else {
@@ -307,12 +331,12 @@
     current.waiting = static_cast<unsigned>(impl.queue.size());
     current.slots = impl.slots;
     current.service_time = to_milliseconds(impl.observed_service_time(route, now));
-    if (impl.slots > 0 && impl.running.size() >= impl.slots) {
-        auto times = impl.predict_slot_releases(now);
+    if (impl.slots > 0 && !impl.can_start(now)) {
+        auto forecast = impl.forecast_starts(now);
         for (auto const& waiting : impl.queue) {
-            impl.reserve_earliest_slot(times, waiting);
+            forecast.reserve_start(forecast.next_start(now), impl.mean_service_time(waiting.route));
         }
-        current.expected_wait = to_milliseconds(std::max(now, times.top()) - now);
+        current.expected_wait = to_milliseconds(forecast.next_start(now) - now);
     }
     return current;
 }
--- a/libraries/mesh/gate_queue.h
+++ b/libraries/mesh/gate_queue.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,9 +21,10 @@
 /// callers have already given up.
 ///
 /// The target never gets more requests than it has slots, since a target that cannot queue a
-/// request may close its connection without any response. Requests are queued in the order of their
-/// soft deadlines; those that can no longer meet theirs come last. A request that is not expected
-/// to be answered by its own limit is refused immediately and not held until it expires.
+/// request may close its connection without any response, and no more requests per second than it
+/// has stated that it accepts. Requests are queued in the order of their soft deadlines; those that
+/// can no longer meet theirs come last. A request that is not expected to be answered by its own
+/// limit is refused immediately and not held until it expires.
 ///
 /// Not thread-safe. The current time is passed as an argument.
 class gate_queue {
@@ -38,6 +40,9 @@
     /// target.
     void set_slots(unsigned slots);
 
+    /// Sets the number of requests per second that the target accepts; no value removes the limit.
+    void set_rate_limit(std::optional<double> requests_per_second, boot_time now);
+
     /// Sets the time at which the node stops. Requests that may run beyond it are refused from now
     /// on.
     void set_stop_time(boot_time at);
--- /dev/null
+++ b/libraries/mesh/target_notice.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <optional>
+
+namespace peridot {
+
+/// What a target states about itself in its responses.
+struct target_notice {
+    /// Requests per second that the target accepts from the whole fleet; no value without a limit.
+    std::optional<double> rate_limit;
+
+    bool operator==(target_notice const&) const = default;
+};
+
+} // namespace peridot
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -115,6 +115,7 @@
     void set_target(std::optional<target_record> const& next) {
         if (!next || !this->target || next->id != this->target->id) {
             this->failures = {};
+            this->apply_notice({});
         }
         this->target = next;
         bool const accepts_requests =
@@ -247,7 +248,11 @@
             co_return gate_unknown{failed->reason};
         }
         auto& answer = std::get<http_response>(outcome);
-        switch (classify_answer(answer, call.attempt_id)) {
+        auto const proof = classify_answer(answer, call.attempt_id);
+        if (proof != execution_proof::none) {
+            this->observe_notice(call, answer);
+        }
+        switch (proof) {
         case execution_proof::not_run:
             co_return gate_target_refusal{std::move(answer)};
         case execution_proof::none: {
@@ -268,6 +273,28 @@
         co_return gate_ran{std::move(answer)};
     }
 
+    void observe_notice(gate_call const& call, http_response const& answer) {
+        auto const observed = read_target_notice(answer);
+        bool const is_current_target = this->target && this->target->id == call.target_id;
+        if (observed && is_current_target) {
+            this->apply_notice(*observed);
+        }
+    }
+
+    void apply_notice(target_notice const& next) {
+        if (next == this->notice) {
+            return;
+        }
+        this->notice = next;
+        this->queue.set_rate_limit(next.rate_limit, boot_clock::now());
+        if (next.rate_limit) {
+            log::write(log::level::warning, "target_rate_limited",
+                       {{"requests_per_second", *next.rate_limit}});
+        } else {
+            log::write(log::level::info, "target_rate_unlimited", {});
+        }
+    }
+
     void report(target_result const& observed) {
         this->failures.observe(observed.is_failure ? decaying_failure_rate::outcome::failed
                                                    : decaying_failure_rate::outcome::succeeded,
@@ -311,6 +338,8 @@
     result_function report_result;
     decaying_failure_rate failures;
     std::optional<target_record> target;
+    /// What the target stated in its last response.
+    target_notice notice;
     std::string blocked_version;
     gate_queue queue;
     std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters;
--- a/tests/adapter/messages_test.cpp
+++ b/tests/adapter/messages_test.cpp
@@ -42,6 +42,21 @@
     CHECK(classify_answer(answer(503, {}), "a") == execution_proof::none);
 }
 
+// Guards against a limit that is overlooked, and against one that is read from a malformed field or
+// from a different target at the same address.
+TEST(messages, target_states_its_rate_limit) {
+    auto const limit_in = [](std::string const& text) {
+        return read_target_notice(answer(200, {{"Server-Limit", text}}))->rate_limit;
+    };
+    DOUBLES_EQUAL(12.8, limit_in("12.8").value(), 1e-9);
+    DOUBLES_EQUAL(0, limit_in("0").value(), 0);
+    for (char const* text : {"", "many", "-1", "inf", "nan", "12.8.1"}) {
+        CHECK_FALSE(limit_in(text).has_value());
+    }
+    CHECK_FALSE(read_target_notice(answer(200, {}))->rate_limit.has_value());
+    CHECK_FALSE(read_target_notice(answer(421, {{"Server-Limit", "1"}})).has_value());
+}
+
 // Guards against a target that continues to work on a request after its deadline.
 TEST(messages, target_receives_time_left_and_calling_service) {
     http_request request;
--- a/tests/mesh/gate_queue_test.cpp
+++ b/tests/mesh/gate_queue_test.cpp
@@ -277,3 +277,93 @@
     }
     CHECK(queue.load("old", later).service_time > milliseconds(500));
 }
+
+// Guards against a target in need that gets more requests than the rate it has stated: with a limit
+// of 12.8 per second it got 94 requests in 4 s (deploy/days/capped.toml).
+TEST(gate_queue, target_never_gets_more_requests_than_its_rate_limit) {
+    constexpr double limit = 12.8;
+    queue.set_slots(12);
+    record_service_time("a", milliseconds(100), begin);
+    queue.set_rate_limit(limit, begin);
+    std::vector<boot_time> starts;
+    std::map<std::uint64_t, boot_time> running;
+    std::size_t refused = 0;
+    for (auto now = begin; now < begin + seconds(20); now += milliseconds(5)) {
+        for (auto entry = running.begin(); entry != running.end();) {
+            bool const is_over = now >= entry->second;
+            if (is_over) {
+                queue.finish(entry->first, gate_queue::outcome::succeeded, now);
+            }
+            entry = is_over ? running.erase(entry) : std::next(entry);
+        }
+        auto const start = [&](std::uint64_t id) {
+            starts.push_back(now);
+            running[id] = now + milliseconds(100);
+        };
+        // 40 requests per second.
+        if ((now - begin) % milliseconds(25) == nanoseconds(0)) {
+            auto const id = ++next_id;
+            auto const decision =
+                queue.offer(request(id, "a", now, milliseconds(600), milliseconds(1500)), now);
+            refused += is_refused(decision) ? 1 : 0;
+            if (is_started(decision)) {
+                start(id);
+            }
+        }
+        auto const dequeued = queue.dispatch(now);
+        refused += dequeued.refused.size();
+        for (auto const id : dequeued.started) {
+            start(id);
+        }
+    }
+    for (std::size_t first = 0; first < starts.size(); ++first) {
+        auto const last =
+            std::upper_bound(starts.begin(), starts.end(), starts[first] + seconds(4));
+        auto const in_window = last - starts.begin() - static_cast<std::ptrdiff_t>(first);
+        // What the target states, and a short burst.
+        CHECK(static_cast<double>(in_window) <= limit * 4 + 4);
+    }
+    CHECK(static_cast<double>(starts.size()) >= limit * 20 * 0.95);
+    CHECK(refused > 400);
+}
+
+// Guards against requests that wait for a rate limit until their deadline: what cannot be served is
+// refused at once, with a time to return that follows from the limit.
+TEST(gate_queue, request_beyond_the_rate_limit_is_refused_at_once) {
+    queue.set_slots(12);
+    record_service_time("a", milliseconds(100), begin);
+    queue.set_rate_limit(2, begin);
+    auto const offer = [&] {
+        return queue.offer(request(++next_id, "a", begin, milliseconds(600), milliseconds(700)),
+                           begin);
+    };
+    CHECK(is_started(offer()));
+    CHECK(is_waiting(offer()));
+    auto const decision = offer();
+    CHECK(is_refused(decision));
+    CHECK(std::get<gate_refusal>(decision).retry_after >= milliseconds(400));
+    CHECK(queue.load("a", begin).expected_wait >= milliseconds(900));
+}
+
+// Guards against a target that is never asked again after it has stated a limit of zero, and
+// against a limit that outlasts the statement.
+TEST(gate_queue, rate_limit_of_zero_lets_few_requests_pass_and_can_be_lifted) {
+    queue.set_slots(12);
+    queue.set_rate_limit(0, begin);
+    std::size_t started = 0;
+    for (auto now = begin; now < begin + seconds(8); now += milliseconds(100)) {
+        auto const id = ++next_id;
+        if (is_started(
+                queue.offer(request(id, "a", now, milliseconds(50), milliseconds(90)), now))) {
+            queue.finish(id, gate_queue::outcome::succeeded, now + milliseconds(10));
+            ++started;
+        }
+    }
+    CHECK(started >= 2);
+    CHECK(started <= 5);
+    queue.set_rate_limit(std::nullopt, begin + seconds(8));
+    for (int count = 0; count < 12; ++count) {
+        auto const now = begin + seconds(8);
+        CHECK(is_started(queue.offer(request(++next_id, "a", now, seconds(1), seconds(2)), now)));
+    }
+}
--- a/tests/processes/mesh_support/mesh_target.cpp
+++ b/tests/processes/mesh_support/mesh_target.cpp
@@ -59,6 +59,9 @@
         http_response answer;
         answer.headers.set("X-Attempt-Id", attempt);
         answer.headers.set("X-Server-Load", "0,0,8");
+        if (this->rate_limit >= 0) {
+            answer.headers.set("Server-Limit", std::to_string(this->rate_limit.load()));
+        }
         if (request.headers.value("X-Expect-Instance") != this->id) {
             answer.status = 421;
             co_return answer;
@@ -114,6 +117,8 @@
     std::atomic<milliseconds> work_time{milliseconds(1)};
     std::atomic<bool> is_failing{false};
     std::atomic<int> lost_answers{0};
+    /// Negative while the target states no limit.
+    std::atomic<double> rate_limit{-1};
     std::atomic<bool> has_stopped_heartbeats{false};
     mutable std::mutex lock;
     std::map<std::string, std::size_t> runs;
@@ -143,6 +148,10 @@
     this->self->is_failing = is_failing;
 }
 
+void mesh_target::set_rate_limit(double requests_per_second) {
+    this->self->rate_limit = requests_per_second;
+}
+
 void mesh_target::stop_heartbeats() {
     this->self->has_stopped_heartbeats = true;
 }
--- a/tests/processes/mesh_support/mesh_target.h
+++ b/tests/processes/mesh_support/mesh_target.h
@@ -29,6 +29,8 @@
     void lose_answers(int count);
     /// Answers every request with 500.
     void set_failing(bool is_failing);
+    /// States in every response how many requests per second the target accepts; zero or more.
+    void set_rate_limit(double requests_per_second);
     /// Stops sending heartbeats.
     void stop_heartbeats();
     /// Deregisters the target; returns whether the call was acknowledged.
--- a/tests/processes/sidecar/sidecar_test.cpp
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -35,6 +35,30 @@
         return wait_until([&] { return this->status_of(from, path) == 200; });
     }
 
+    // Sends lookups from several threads for as long as the function runs.
+    template<typename Function>
+    void during_lookups(std::vector<mesh_instance*> const& callers, Function const& function) {
+        std::atomic<bool> is_stopped{false};
+        std::vector<std::thread> threads;
+        for (auto const* caller : callers) {
+            threads.emplace_back([&, caller] {
+                while (!is_stopped) {
+                    this->status_of(*caller, "/get/1");
+                }
+            });
+        }
+        function();
+        is_stopped = true;
+        for (auto& thread : threads) {
+            thread.join();
+        }
+    }
+
+    // The number of requests that a target with a limit may get within a time.
+    static double allowed_requests(double limit, std::chrono::duration<double> time) {
+        return 1.5 * limit * time.count() + 5;
+    }
+
     static std::size_t run_count(std::vector<mesh_instance*> const& instances,
                                  std::string const& attempt) {
         std::size_t sum = 0;
@@ -417,6 +441,27 @@
     CHECK(has_stopped);
 }
 
+// Guards against a target in need that gets more requests from the fleet than it has stated
+// (deploy/days/capped.toml).
+TEST(sidecar, target_gets_no_more_requests_than_its_rate_limit) {
+    constexpr double limit = 5;
+    fleet.configure(1);
+    auto& first_caller = fleet.add("plants");
+    auto& second_caller = fleet.add("plants");
+    auto& target = fleet.add("deposits");
+    CHECK(wait_until_served(first_caller, "/get/1"));
+    CHECK(wait_until_served(second_caller, "/get/1"));
+    target.target->set_rate_limit(limit);
+    CHECK(wait_until_served(first_caller, "/get/1"));
+    during_lookups({&first_caller, &second_caller, &first_caller, &second_caller}, [&] {
+        auto const before = target.target->run_count();
+        auto const begun = std::chrono::steady_clock::now();
+        CHECK(wait_until([&] { return target.target->run_count() >= before + 15; }));
+        auto const runs = static_cast<double>(target.target->run_count() - before);
+        CHECK(runs <= allowed_requests(limit, std::chrono::steady_clock::now() - begun));
+    });
+}
+
 // Guards against requests that are held until their deadline at a target that does not respond to
 // the requests it runs.
 TEST(sidecar, waiting_request_is_refused_while_the_target_hangs) {
