sidecar: keep a target's rate limit over a restart of its node

Cause: the restarted node knows the limit only after the target's first response. The senders do know it from the responses that they passed on, so they now add it to the call, and the gate uses it until it has a response of its own. The further field is optional, so nodes with and without this change understand each other while no target states a limit.

--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -7,6 +7,7 @@
 #include "mesh/mesh_configuration.h"
 #include "mesh/share_selector.h"
 #include "mesh/target_corrections.h"
+#include "mesh/target_notices.h"
 #include "mesh/target_selector.h"
 #include "mesh/version_share.h"
 #include "observability/counter.h"
@@ -172,6 +173,7 @@
             placement.last.at = now;
             placement.last.instance = chosen.instance;
             placement.call.target_id = chosen.target.id;
+            placement.call.rate_limit = this->notices.find(chosen.target).rate_limit;
             placement.call.finish_by = choice->limit == wait_limit::target_latency
                                            ? placement.call.soft_deadline
                                            : placement.call.deadline;
@@ -263,6 +265,7 @@
                                                 wait_limit /*limit*/,
                                                 request_placement& placement) {
         ++placement.sends;
+        this->observe_notice(chosen, ran.answer);
         bool const is_failure = ran.answer.status >= first_failure_status;
         // A timeout reflects the remaining time set by the caller rather than the health of the
         // target.
@@ -293,6 +296,7 @@
                                                 wait_limit /*limit*/,
                                                 request_placement& placement) {
         ++placement.sends;
+        this->observe_notice(chosen, refused.answer);
         this->observe(chosen, target_observation::failed);
         placement.attempts.excluded.insert(chosen.instance);
         placement.reason = result_code::request_overloaded;
@@ -405,6 +409,12 @@
         this->selector.observe(chosen.instance, observed, boot_clock::now());
     }
 
+    void observe_notice(member const& chosen, http_response const& answer) {
+        if (auto const notice = read_target_notice(answer)) {
+            this->notices.observe(chosen.target, *notice);
+        }
+    }
+
     // Counts a request as in flight to a member for the lifetime of the object.
     class in_flight_count {
     public:
@@ -432,6 +442,7 @@
     fleet_retry_budget retry_budget;
     target_selector selector;
     target_corrections corrections;
+    target_notices notices;
     caller_wait_estimator deadlines;
     random_source random = make_random_source();
     share_selector share_choices;
--- a/libraries/sidecar/gate_call.h
+++ b/libraries/sidecar/gate_call.h
@@ -3,6 +3,7 @@
 #include "core/boot_clock.h"
 #include "mesh/request_kind.h"
 
+#include <optional>
 #include <string>
 
 namespace peridot {
@@ -23,6 +24,8 @@
     boot_time soft_deadline;
     boot_time deadline;
     boot_time finish_by;
+    /// Requests per second that the target has stated to the sender.
+    std::optional<double> rate_limit;
 };
 
 } // namespace peridot
--- a/libraries/sidecar/hop_message.cpp
+++ b/libraries/sidecar/hop_message.cpp
@@ -6,6 +6,7 @@
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <string>
@@ -20,6 +21,10 @@
 constexpr std::string_view call_header = "Peridot-Call";
 constexpr std::string_view state_header = "Peridot-State";
 constexpr std::size_t call_field_count = 10;
+// The rate limit follows as a further field if the sender knows of one.
+constexpr std::size_t limited_call_field_count = call_field_count + 1;
+constexpr double requests_per_unit = 0.001;
+constexpr double max_rate_limit = 1e6;
 constexpr std::size_t state_field_count = 10;
 constexpr double percent = 100;
 constexpr std::uint64_t max_milliseconds = 86'400'000;
@@ -121,13 +126,18 @@
     text += ";" + encoded(call.route);
     text += ";" + encoded(call.attempt_id);
     text += ";" + call.sender;
+    if (call.rate_limit) {
+        text += ";" + std::to_string(std::llround(std::min(*call.rate_limit, max_rate_limit) /
+                                                  requests_per_unit));
+    }
     request.headers.set(call_header, text);
 }
 
 std::optional<gate_call> extract_hop_call(http_request& request, boot_time now) {
     auto const header = std::string(request.headers.value(call_header));
     auto const parts = split(header);
-    if (parts.size() != call_field_count) {
+    bool const has_limit = parts.size() == limited_call_field_count;
+    if (parts.size() != call_field_count && !has_limit) {
         return std::nullopt;
     }
     auto const priority = parse_number(parts[1]);
@@ -148,6 +158,11 @@
     call.route = decoded(parts[7]);
     call.attempt_id = decoded(parts[8]);
     call.sender = parts[9];
+    if (has_limit) {
+        if (auto const limit = parse_number(parts[10])) {
+            call.rate_limit = static_cast<double>(*limit) * requests_per_unit;
+        }
+    }
     request.headers.remove(call_header);
     return call;
 }
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -88,6 +88,10 @@
         if (auto const refused = this->check(call)) {
             co_return *refused;
         }
+        // After a restart of this node, the sender may know more about the target.
+        if (!this->has_notice && call.rate_limit) {
+            this->apply_notice({call.rate_limit});
+        }
         std::uint64_t const number = ++this->last_number;
         gate_request queued{number,        call.route,    call.priority, call.soft_deadline,
                             call.deadline, call.finish_by};
@@ -113,8 +117,10 @@
     }
 
     void set_target(std::optional<target_record> const& next) {
-        if (!next || !this->target || next->id != this->target->id) {
+        if (!next || !this->target || next->id != this->target->id ||
+            next->started_ms != this->target->started_ms) {
             this->failures = {};
+            this->has_notice = false;
             this->apply_notice({});
         }
         this->target = next;
@@ -277,6 +283,7 @@
         auto const observed = read_target_notice(answer);
         bool const is_current_target = this->target && this->target->id == call.target_id;
         if (observed && is_current_target) {
+            this->has_notice = true;
             this->apply_notice(*observed);
         }
     }
@@ -338,8 +345,9 @@
     result_function report_result;
     decaying_failure_rate failures;
     std::optional<target_record> target;
-    /// What the target stated in its last response.
+    /// What the target stated in its last response, or to a sender before its first response here.
     target_notice notice;
+    bool has_notice = false;
     std::string blocked_version;
     gate_queue queue;
     std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters;
--- a/tests/processes/sidecar/sidecar_test.cpp
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -462,6 +462,31 @@
     });
 }
 
+// Guards against a burst at a target in need after its node was restarted and has forgotten the
+// limit.
+TEST(sidecar, rate_limit_outlasts_a_restart_of_the_targets_node) {
+    constexpr double limit = 0.5;
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& target = fleet.add("deposits");
+    CHECK(wait_until_served(caller, "/get/1"));
+    target.target->set_rate_limit(limit);
+    CHECK(wait_until_served(caller, "/get/1"));
+    target.target->set_work_time(milliseconds(2000));
+    std::vector<mesh_instance*> const callers(12, &caller);
+    during_lookups(callers, [&] {
+        auto const before = target.target->run_count();
+        target.node->end();
+        fleet.restart(target);
+        auto const begun = std::chrono::steady_clock::now();
+        CHECK(wait_until([&] { return target.target->run_count() > before; }));
+        // The restarted node has no response of the target yet.
+        std::this_thread::sleep_for(milliseconds(1500));
+        auto const runs = static_cast<double>(target.target->run_count() - before);
+        CHECK(runs <= allowed_requests(limit, std::chrono::steady_clock::now() - begun));
+    });
+}
+
 // Guards against requests that are held until their deadline at a target that does not respond to
 // the requests it runs.
 TEST(sidecar, waiting_request_is_refused_while_the_target_hangs) {
