sidecar: send nothing to a target that states its leaving

A target that said Server-Leaving: 1 in its responses, with heartbeats that still said ready, went on getting requests (DRAIN).

The gate beside the target takes it out of service at once and has it recorded as draining, so that a restarted node knows it. The node where a request begins remembers what was stated in responses that it passed on, so it keeps the rule by itself even if the target's node has forgotten the statement and the store could not record it. A process that starts again under its id is told apart by its start time.

--- a/libraries/mesh/target_tracker.cpp
+++ b/libraries/mesh/target_tracker.cpp
@@ -75,6 +75,19 @@
     return target_change::updated;
 }
 
+target_change target_tracker::drain(target_record const& target) {
+    bool const is_current = this->latest && this->latest->id == target.id &&
+                            this->latest->started_ms == target.started_ms;
+    if (!is_current) {
+        return target_change::ignored;
+    }
+    if (this->latest->state != target_state::ready) {
+        return target_change::none;
+    }
+    this->latest->state = target_state::draining;
+    return target_change::updated;
+}
+
 target_change target_tracker::restore(target_record const& recorded) {
     if (this->latest || recorded.service != this->service) {
         return target_change::ignored;
--- a/libraries/mesh/target_tracker.h
+++ b/libraries/mesh/target_tracker.h
@@ -36,6 +36,9 @@
     /// deregistration before the record.
     target_change deregister(std::string_view id, std::optional<std::int64_t> started_ms);
 
+    /// Marks the target as draining, as it has stated in a response.
+    target_change drain(target_record const& target);
+
     /// Restores the record written by an earlier process of the node, unless a newer one is known.
     target_change restore(target_record const& recorded);
 
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -213,9 +213,12 @@
             placement.version = this->share_choices.choose_version(placement.service, shares);
         }
         for (auto const& version : versions_to_try(placement.version, shares, current)) {
-            auto choice =
-                this->selector.choose(active_members(found->second, version, current),
-                                      placement.call.route, placement.attempts, now, this->random);
+            auto candidates = active_members(found->second, version, current);
+            std::erase_if(candidates, [this](member const* candidate) {
+                return this->notices.find(candidate->target).is_leaving;
+            });
+            auto choice = this->selector.choose(candidates, placement.call.route,
+                                                placement.attempts, now, this->random);
             if (choice) {
                 return choice;
             }
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -87,8 +87,10 @@
         , control_connections(control_context, store_http_limits())
         , store(control_connections, initial.store)
         , evidence(views, initial.service)
-        , gate(data_context, connections, initial.target, metrics,
-               [this](target_result const& observed) { this->evidence.record(observed); })
+        , gate(
+              data_context, connections, initial.target, metrics,
+              [this](target_result const& observed) { this->evidence.record(observed); },
+              [this](target_record const& draining) { this->record_draining(draining); })
         , entry(identity_of(initial), bounds, views, connections, gate, metrics,
                 [this](std::string const& ip, std::uint64_t version) {
                     this->request_newer_configuration(ip, version);
@@ -244,6 +246,12 @@
         co_return co_await this->fleet.answer_rows(std::move(request));
     }
 
+    // Runs on the data thread; the announcements belong to the control thread.
+    void record_draining(target_record const& draining) {
+        asio::post(this->control_context,
+                   [this, draining] { this->announcements.observe_draining(draining); });
+    }
+
     // Runs on the control thread; completes once the gate uses the new record.
     asio::awaitable<void> apply_target(std::optional<target_record> target) {
         auto const apply = [](implementation* node,
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -79,6 +79,13 @@
         co_return acknowledgement();
     }
 
+    static asio::awaitable<void> apply_draining(std::shared_ptr<implementation> self,
+                                                target_record target) {
+        if (self->tracker.drain(target) == target_change::updated) {
+            co_await self->apply_current();
+        }
+    }
+
     void rows_changed() {
         // The source of the rows may also be able to write the record.
         this->retry.cancel();
@@ -98,6 +105,8 @@
 
     bool is_recorded() const { return !this->is_recording; }
 
+    asio::io_context& context;
+
 private:
     static asio::awaitable<void> restore(std::shared_ptr<implementation> self) {
         log::write(log::level::info, "target_restored",
@@ -210,7 +219,6 @@
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 
-    asio::io_context& context;
     sidecar_settings const& settings;
     fleet_sync& fleet;
     apply_function apply;
@@ -231,6 +239,11 @@
     return this->self->respond(std::move(request));
 }
 
+void target_announcements::observe_draining(target_record const& target) {
+    asio::co_spawn(this->self->context, implementation::apply_draining(this->self, target),
+                   asio::detached);
+}
+
 void target_announcements::rows_changed() {
     this->self->rows_changed();
 }
--- a/libraries/sidecar/target_announcements.h
+++ b/libraries/sidecar/target_announcements.h
@@ -40,6 +40,9 @@
     /// Responds to a call from the target.
     boost::asio::awaitable<http_response> respond(http_request request);
 
+    /// Applies and records that the target drains, as it has stated in a response.
+    void observe_draining(target_record const& target);
+
     /// Checks the replica's rows for a record written by an earlier process of this node.
     void rows_changed();
 
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -37,12 +37,14 @@
 class target_gate::implementation {
 public:
     implementation(asio::io_context& io, connection_pool& pool, socket_address target_address,
-                   sidecar_metrics& node_metrics, result_function on_result)
+                   sidecar_metrics& node_metrics, result_function on_result,
+                   draining_function on_draining)
         : context(io)
         , connections(pool)
         , address(std::move(target_address))
         , metrics(node_metrics)
-        , report_result(std::move(on_result)) {}
+        , report_result(std::move(on_result))
+        , report_draining(std::move(on_draining)) {}
 
     // A request that waits for a slot, and the decision once it is made.
     struct waiter {
@@ -90,7 +92,8 @@
         }
         // After a restart of this node, the sender may know more about the target.
         if (!this->has_notice && call.rate_limit) {
-            this->apply_notice({call.rate_limit});
+            this->apply_rate_limit(call.rate_limit);
+            this->notice.rate_limit = call.rate_limit;
         }
         std::uint64_t const number = ++this->last_number;
         gate_request queued{number,        call.route,    call.priority, call.soft_deadline,
@@ -121,7 +124,8 @@
             next->started_ms != this->target->started_ms) {
             this->failures = {};
             this->has_notice = false;
-            this->apply_notice({});
+            this->notice = {};
+            this->queue.set_rate_limit(std::nullopt, boot_clock::now());
         }
         this->target = next;
         bool const accepts_requests =
@@ -292,11 +296,23 @@
         if (next == this->notice) {
             return;
         }
+        if (next.rate_limit != this->notice.rate_limit) {
+            this->apply_rate_limit(next.rate_limit);
+        }
         this->notice = next;
-        this->queue.set_rate_limit(next.rate_limit, boot_clock::now());
-        if (next.rate_limit) {
+        if (next.is_leaving && this->target->state == target_state::ready) {
+            auto draining = *this->target;
+            draining.state = target_state::draining;
+            this->set_target(draining);
+            this->report_draining(draining);
+        }
+    }
+
+    void apply_rate_limit(std::optional<double> requests_per_second) {
+        this->queue.set_rate_limit(requests_per_second, boot_clock::now());
+        if (requests_per_second) {
             log::write(log::level::warning, "target_rate_limited",
-                       {{"requests_per_second", *next.rate_limit}});
+                       {{"requests_per_second", *requests_per_second}});
         } else {
             log::write(log::level::info, "target_rate_unlimited", {});
         }
@@ -343,6 +359,7 @@
     socket_address address;
     sidecar_metrics& metrics;
     result_function report_result;
+    draining_function report_draining;
     decaying_failure_rate failures;
     std::optional<target_record> target;
     /// What the target stated in its last response, or to a sender before its first response here.
@@ -356,9 +373,11 @@
 };
 
 target_gate::target_gate(asio::io_context& context, connection_pool& connections,
-                         socket_address target, sidecar_metrics& metrics, result_function report)
+                         socket_address target, sidecar_metrics& metrics,
+                         result_function report_result, draining_function report_draining)
     : self(std::make_unique<implementation>(context, connections, std::move(target), metrics,
-                                            std::move(report))) {}
+                                            std::move(report_result), std::move(report_draining))) {
+}
 
 target_gate::~target_gate() = default;
 
--- a/libraries/sidecar/target_gate.h
+++ b/libraries/sidecar/target_gate.h
@@ -34,8 +34,12 @@
     /// Called for each request that the target ran or may have run.
     using result_function = std::function<void(target_result const&)>;
 
+    /// Called when the target states in a response that it drains.
+    using draining_function = std::function<void(target_record const&)>;
+
     target_gate(boost::asio::io_context& context, connection_pool& connections,
-                socket_address target, sidecar_metrics& metrics, result_function report);
+                socket_address target, sidecar_metrics& metrics, result_function report_result,
+                draining_function report_draining);
     ~target_gate();
     target_gate(target_gate const&) = delete;
     target_gate& operator=(target_gate const&) = delete;
--- a/tests/adapter/messages_test.cpp
+++ b/tests/adapter/messages_test.cpp
@@ -57,6 +57,15 @@
     CHECK_FALSE(read_target_notice(answer(421, {{"Server-Limit", "1"}})).has_value());
 }
 
+// Guards against a target that leaves unnoticed because it only states so in its responses.
+TEST(messages, target_states_its_leaving) {
+    CHECK(read_target_notice(answer(200, {{"Server-Leaving", "1"}}))->is_leaving);
+    CHECK(read_target_notice(answer(503, {{"X-Not-Executed", "1"}, {"Server-Leaving", "1"}}))
+              ->is_leaving);
+    CHECK_FALSE(read_target_notice(answer(200, {}))->is_leaving);
+    CHECK_FALSE(read_target_notice(answer(200, {{"Server-Leaving", "0"}}))->is_leaving);
+}
+
 // Guards against a target that continues to work on a request after its deadline.
 TEST(messages, target_receives_time_left_and_calling_service) {
     http_request request;
--- a/tests/processes/mesh_support/mesh_target.cpp
+++ b/tests/processes/mesh_support/mesh_target.cpp
@@ -62,6 +62,9 @@
         if (this->rate_limit >= 0) {
             answer.headers.set("Server-Limit", std::to_string(this->rate_limit.load()));
         }
+        if (this->is_leaving) {
+            answer.headers.set("Server-Leaving", "1");
+        }
         if (request.headers.value("X-Expect-Instance") != this->id) {
             answer.status = 421;
             co_return answer;
@@ -119,6 +122,7 @@
     std::atomic<int> lost_answers{0};
     /// Negative while the target states no limit.
     std::atomic<double> rate_limit{-1};
+    std::atomic<bool> is_leaving{false};
     std::atomic<bool> has_stopped_heartbeats{false};
     mutable std::mutex lock;
     std::map<std::string, std::size_t> runs;
@@ -152,6 +156,10 @@
     this->self->rate_limit = requests_per_second;
 }
 
+void mesh_target::set_leaving(bool is_leaving) {
+    this->self->is_leaving = is_leaving;
+}
+
 void mesh_target::stop_heartbeats() {
     this->self->has_stopped_heartbeats = true;
 }
--- a/tests/processes/mesh_support/mesh_target.h
+++ b/tests/processes/mesh_support/mesh_target.h
@@ -31,6 +31,8 @@
     void set_failing(bool is_failing);
     /// States in every response how many requests per second the target accepts; zero or more.
     void set_rate_limit(double requests_per_second);
+    /// States in every response that the target drains.
+    void set_leaving(bool is_leaving);
     /// Stops sending heartbeats.
     void stop_heartbeats();
     /// Deregisters the target; returns whether the call was acknowledged.
--- a/tests/processes/sidecar/sidecar_test.cpp
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -487,6 +487,54 @@
     });
 }
 
+// Guards against requests to a target that states in its responses that it leaves, while its
+// heartbeats still say that it is ready.
+TEST(sidecar, target_that_states_its_leaving_gets_nothing) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& leaving = fleet.add("deposits");
+    auto& staying = fleet.add("deposits");
+    CHECK(wait_until([&] {
+        return wait_until_served(caller, "/get/1") && leaving.target->run_count() > 0 &&
+               staying.target->run_count() > 0;
+    }));
+    leaving.target->set_leaving(true);
+    auto const before = leaving.target->run_count();
+    CHECK(wait_until([&] {
+        return status_of(caller, "/get/1") == 200 && leaving.target->run_count() > before;
+    }));
+    auto const last = leaving.target->run_count();
+    for (int round = 0; round < 50; ++round) {
+        UNSIGNED_LONGS_EQUAL(200, status_of(caller, "/get/1"));
+    }
+    UNSIGNED_LONGS_EQUAL(last, leaving.target->run_count());
+    // The record of the store says so too, so a restarted node knows it.
+    CHECK(wait_until([&] {
+        return fleet.store().value("peridot", "member/" + leaving.name).find("draining") !=
+               std::string::npos;
+    }));
+}
+
+// Guards against requests to a leaving target whose restarted node has forgotten the statement,
+// because the store could not record it.
+TEST(sidecar, senders_remember_a_leaving_target_while_the_store_is_down) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& leaving = fleet.add("deposits");
+    CHECK(wait_until_served(caller, "/get/1"));
+    fleet.store().set_unavailable(true);
+    leaving.target->set_leaving(true);
+    UNSIGNED_LONGS_EQUAL(200, status_of(caller, "/get/1"));
+    auto const last = leaving.target->run_count();
+    leaving.node->end();
+    fleet.restart(leaving);
+    CHECK(wait_until([&] { return fleet.is_ready(leaving); }));
+    for (int round = 0; round < 20; ++round) {
+        UNSIGNED_LONGS_EQUAL(503, status_of(caller, "/get/1"));
+    }
+    UNSIGNED_LONGS_EQUAL(last, leaving.target->run_count());
+}
+
 // Guards against requests that are held until their deadline at a target that does not respond to
 // the requests it runs.
 TEST(sidecar, waiting_request_is_refused_while_the_target_hangs) {
