http: bound the bytes that servers write without end

A faulty target can write a head or a body that never ends. A node would have kept the line of a chunk or a trailer without any limit, and up to 64 MiB of each body: the 12 to 18 requests at one target add up to more than the memory of a node (160 MB), which then ends by itself.

Cause: the parser limits the header and a single body, but neither what it buffers between chunks nor all bodies together. The buffer of a connection now holds 128 KiB, and the bodies that a pool receives at the same time share 32 MiB; a body of up to 64 KiB is always received. An exchange beyond that ends with an unknown outcome and closes its connection.

http.heads_without_end_are_given_up (chunk line) and http.bodies_without_end_share_a_limit failed on the code before.

--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -48,18 +48,23 @@
 constexpr int unacknowledged_milliseconds = 1500;
 constexpr std::size_t max_mismatched_responses = 4;
 constexpr std::size_t idle_connections_per_address = 32;
+// Limits headers, chunk extensions and trailers, which a parser can only process as a whole.
+constexpr std::size_t max_buffer_bytes = std::size_t{128} * 1024;
+// A body up to this size is received whatever other bodies take.
+constexpr std::size_t guaranteed_body_bytes = std::size_t{64} * 1024;
 constexpr seconds sweep_period{5};
 
 struct connection {
     explicit connection(asio::io_context& context) : stream(context) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_buffer_bytes};
     steady_time last_used;
     /// Time for which the idle connection may be reused: the server's idle timeout less a margin.
     milliseconds idle_limit = max_idle_time;
 };
 
+using response_parser = http::response_parser<http::string_body>;
 using connection_pointer = std::unique_ptr<connection>;
 
 // On a usable idle connection there is nothing to read: neither data nor the end of the stream.
@@ -141,6 +146,51 @@
         socket_address address;
     };
 
+    // Counts the size of a body that is being received, for the lifetime of the object.
+    class received_body {
+    public:
+        explicit received_body(implementation& owner) : owner(owner) {}
+        ~received_body() { this->owner.received_bytes -= this->size; }
+        received_body(received_body const&) = delete;
+        received_body& operator=(received_body const&) = delete;
+        received_body(received_body&&) = delete;
+        received_body& operator=(received_body&&) = delete;
+
+        // Returns whether the body may be received further.
+        bool grow_to(std::size_t next) {
+            this->owner.received_bytes += next - this->size;
+            this->size = next;
+            return next <= guaranteed_body_bytes ||
+                   this->owner.received_bytes <= this->owner.limits.received_bytes;
+        }
+
+    private:
+        implementation& owner;
+        std::size_t size = 0;
+    };
+
+    // Reads one response. The body is counted while it grows, so that it cannot exceed the limits.
+    static asio::awaitable<boost::system::error_code>
+    read_response(implementation& self, connection& source, response_parser& parser) {
+        received_body body(self);
+        while (!parser.is_done()) {
+            auto const [read_error, size] =
+                co_await http::async_read_some(source.stream, source.buffer, parser, to_tuple);
+            if (read_error == http::error::end_of_stream && parser.got_some()) {
+                boost::system::error_code end_error;
+                parser.put_eof(end_error);
+                co_return end_error;
+            }
+            if (read_error) {
+                co_return read_error;
+            }
+            if (!body.grow_to(parser.get().body().size())) {
+                co_return http::make_error_code(http::error::body_limit);
+            }
+        }
+        co_return boost::system::error_code{};
+    }
+
     connection_pointer take_idle(socket_address const& address, connection_reuse reuse) {
         auto const found = this->addresses.find(address);
         if (found == this->addresses.end()) {
@@ -245,12 +295,11 @@
                 written == 0 ? exchange_progress::not_sent : exchange_progress::sent);
         }
         for (std::size_t skipped = 0; skipped <= max_mismatched_responses; ++skipped) {
-            http::response_parser<http::string_body> parser;
+            response_parser parser;
             parser.body_limit(self->limits.body_bytes);
             parser.header_limit(self->limits.header_bytes);
             parser.skip(message.method() == http::verb::head);
-            auto const [read_error, size] =
-                co_await http::async_read(stream, checkout.current->buffer, parser, to_tuple);
+            auto const read_error = co_await read_response(*self, *checkout.current, parser);
             if (read_error) {
                 bool const has_begun = parser.got_some();
                 co_return make_failure(has_begun ? result_code::request_answer_incomplete
@@ -316,6 +365,7 @@
     asio::io_context& context;
     http_limits limits;
     std::size_t connections_per_address;
+    std::size_t received_bytes = 0;
     std::map<socket_address, address_state> addresses;
     steady_time last_sweep;
 };
--- a/libraries/http/http_limits.h
+++ b/libraries/http/http_limits.h
@@ -10,6 +10,9 @@
 struct http_limits {
     std::size_t body_bytes = std::size_t{1024} * 1024;
     std::uint32_t header_bytes = 16U * 1024U;
+    /// Maximum size of all response bodies that a client receives at the same time. Servers that
+    /// write bodies without end could otherwise exhaust the memory together.
+    std::size_t received_bytes = std::size_t{32} * 1024 * 1024;
     std::size_t connections = 4096;
     /// Maximum number of pipelined requests processed concurrently per connection.
     std::size_t pipelined_requests = 16;
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -342,6 +342,59 @@
     STRCMP_EQUAL("own", std::get<http_response>(exchanged).body.c_str());
 }
 
+// Guards against a node that runs out of memory because a faulty server writes a head without end,
+// also where the end of a chunk's line or of a trailer is due.
+TEST(http, heads_without_end_are_given_up) {
+    std::string const endless(8 * 1024 * 1024, 'x');
+    std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (auto const& response :
+         {"HTTP/1.1 200 OK\r\nX-Field: " + endless + "\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 200 " + endless + "\r\nContent-Length: 0\r\n\r\n",
+          chunked + "1;" + endless + "\r\nx\r\n0\r\n\r\n",
+          chunked + "1\r\nx\r\n0\r\nX-Trailer: " + endless + "\r\n\r\n"}) {
+        CHECK(code_of(exchange_with_raw_server(response)) != result_code::ok);
+    }
+}
+
+// Guards against a node that runs out of memory because several faulty servers write bodies without
+// end at the same time, each within the limit of one body.
+TEST(http, bodies_without_end_share_a_limit) {
+    constexpr std::size_t megabyte = std::size_t{1024} * 1024;
+    http_limits limits;
+    limits.body_bytes = 64 * megabyte;
+    limits.received_bytes = 4 * megabyte;
+    connection_pool bounded(context, limits);
+    std::string const body(3 * megabyte, 'x');
+    std::string const chunk = "100000\r\n" + std::string(megabyte, 'x') + "\r\n";
+    raw_server const first("HTTP/1.1 200 OK\r\n\r\n" + body);
+    raw_server const second("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk +
+                            chunk + chunk + "0\r\n\r\n");
+    raw_server const small("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    exchange_options options;
+    options.accepts_close_delimited = true;
+    auto const start = [&](raw_server const& server) {
+        return boost::asio::co_spawn(
+            context,
+            bounded.exchange(server.address(), {"GET", "/", {}, {}},
+                             std::chrono::steady_clock::now() + seconds(30), options),
+            boost::asio::use_future);
+    };
+    auto first_outcome = start(first);
+    auto second_outcome = start(second);
+    auto small_outcome = start(small);
+    context.run();
+    auto const served = static_cast<int>(code_of(first_outcome.get()) == result_code::ok) +
+                        static_cast<int>(code_of(second_outcome.get()) == result_code::ok);
+    CHECK(served <= 1);
+    UNSIGNED_LONGS_EQUAL(200, status_of(small_outcome.get()));
+    // What was received before does not count any more.
+    raw_server const third("HTTP/1.1 200 OK\r\n\r\n" + body);
+    auto third_outcome = start(third);
+    context.restart();
+    context.run();
+    UNSIGNED_LONGS_EQUAL(200, status_of(third_outcome.get()));
+}
+
 // Guards against parsing trailing bytes of a response as the response to the next request.
 TEST(http, connection_with_trailing_bytes_is_not_reused) {
     raw_server const raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
