sidecar: refuse odd member records and bound the cost of slots

One record of another writer could end a node again and again: a record of the node's own key with slots is read back when the node starts, and each decision of the gate then listed every slot (34 GB). Records with a port in the address or an address out of range were taken as members, too.

Cause: decode_member checked that the fields exist, not their range, and the gate's forecast was as long as the number of slots. Slots are limited like those of a heartbeat, the address must be one, and the forecast has no more free slots than requests that could take them. Deep nesting and numbers out of range were refused before; the test now holds that.

--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -160,7 +160,11 @@
                 now + std::max({mean - elapsed, fraction_of(mean, min_remaining_fraction),
                                 fraction_of(elapsed, overrun_remaining_fraction)}));
         }
-        for (std::size_t index = this->running.size(); index < this->slots; ++index) {
+        // Not more free slots than requests that could take them, since a target may claim any
+        // number.
+        std::size_t const usable_slots =
+            std::min<std::size_t>(this->slots, this->running.size() + this->queue.size() + 1);
+        for (std::size_t index = this->running.size(); index < usable_slots; ++index) {
             forecast.releases.push(now);
         }
         return forecast;
--- a/libraries/sidecar/member_json.cpp
+++ b/libraries/sidecar/member_json.cpp
@@ -2,6 +2,7 @@
 
 #include "core/json_fields.h"
 
+#include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
 
 namespace peridot {
@@ -10,6 +11,8 @@
 
 namespace json = boost::json;
 
+constexpr std::uint64_t max_slots = 100'000;
+
 target_state state_of(std::string_view text) {
     if (text == "ready") {
         return target_state::ready;
@@ -23,13 +26,20 @@
             {"state", name(target.state)}, {"started_ms", target.started_ms}};
 }
 
-// Returns no value if the id or the slots are missing.
+bool is_ip_address(std::string const& text) {
+    boost::system::error_code malformed;
+    boost::asio::ip::make_address(text, malformed);
+    return !malformed;
+}
+
+// Returns no value if the id or the slots are missing or out of range.
 std::optional<target_record> target_in(json::object const& fields) {
     target_record target;
     target.id = string_field(fields, "target");
     target.service = string_field(fields, "service");
     target.version = string_field(fields, "version");
-    target.slots = static_cast<unsigned>(unsigned_field(fields, "slots"));
+    auto const slots = unsigned_field(fields, "slots");
+    target.slots = slots > max_slots ? 0 : static_cast<unsigned>(slots);
     target.state = state_of(string_field(fields, "state"));
     target.started_ms = static_cast<std::int64_t>(unsigned_field(fields, "started_ms"));
     if (target.id.empty() || target.slots == 0) {
@@ -72,9 +82,9 @@
     record.availability_zone = string_field(*object, "availability_zone");
     record.processor_share = number_field(*object, "processor_share");
     auto target = target_in(*object);
-    if (record.instance.empty() || record.ip.empty() || !target) {
+    if (record.instance.empty() || !is_ip_address(record.ip) || !target) {
         return error{result_code::platform_record_malformed,
-                     "a member record lacks its instance, address, target or slots"};
+                     "a member record has no valid instance, address, target or slots"};
     }
     record.target = std::move(*target);
     return record;
--- a/tests/mesh/gate_queue_test.cpp
+++ b/tests/mesh/gate_queue_test.cpp
@@ -367,3 +367,16 @@
         CHECK(is_started(queue.offer(request(++next_id, "a", now, seconds(1), seconds(2)), now)));
     }
 }
+
+// Guards against a node that runs out of memory because its target claims a very large number of
+// slots.
+TEST(gate_queue, number_of_slots_does_not_determine_the_cost_of_a_decision) {
+    queue.set_slots(4'000'000'000);
+    queue.set_rate_limit(1, begin);
+    for (int count = 0; count < 3; ++count) {
+        auto const decision =
+            queue.offer(request(++next_id, "a", begin, seconds(10), seconds(20)), begin);
+        CHECK_FALSE(is_refused(decision));
+    }
+    UNSIGNED_LONGS_EQUAL(2, queue.load("a", begin).waiting);
+}
--- a/tests/processes/sidecar/sidecar_test.cpp
+++ b/tests/processes/sidecar/sidecar_test.cpp
@@ -535,6 +535,31 @@
     UNSIGNED_LONGS_EQUAL(last, leaving.target->run_count());
 }
 
+// Guards against nodes that end again and again, or no longer follow the members, because another
+// writer has left odd records among them.
+TEST(sidecar, odd_member_records_stop_no_node) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& target = fleet.add("deposits");
+    CHECK(wait_until_served(caller, "/get/1"));
+    std::string const nested(20'000, '[');
+    fleet.store().put("peridot", "member/nested", nested);
+    fleet.store().put("peridot", "member/huge",
+                      R"({"instance":"huge","ip":"127.0.0.1:99999",)"
+                      R"("target":"i-x","slots":1e400})");
+    fleet.store().put("peridot", "member/" + target.name,
+                      R"({"instance":")" + target.name + R"(","ip":")" + target.ip +
+                          R"(","target":"i-x","service":"deposits","version":"v1",)"
+                          R"("slots":4294967295,"state":"ready","started_ms":1})");
+    target.node->end();
+    fleet.restart(target);
+    CHECK(wait_until_served(caller, "/get/1"));
+    auto& added = fleet.add("plants");
+    CHECK(wait_until_served(added, "/get/1"));
+    CHECK_FALSE(caller.node->has_ended());
+    CHECK_FALSE(target.node->has_ended());
+}
+
 // Guards against requests that are held until their deadline at a target that does not respond to
 // the requests it runs.
 TEST(sidecar, waiting_request_is_refused_while_the_target_hangs) {
