http, mesh: parse a response in one step and name a lost follower's replacement

Reading a response piece by piece had left out the eager mode that async_read sets, so header and body took two steps even if they had arrived together. The selector's condition for following in place of a node that has lost the store gets a name, and its description says which nodes do so. Behaviour is the same.

--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -173,6 +173,8 @@
     static asio::awaitable<boost::system::error_code>
     read_response(implementation& self, connection& source, response_parser& parser) {
         received_body body(self);
+        // Header and body are parsed in one step if they have arrived together.
+        parser.eager(true);
         while (!parser.is_done()) {
             auto const [read_error, size] =
                 co_await http::async_read_some(source.stream, source.buffer, parser, to_tuple);
--- a/libraries/mesh/row_source_selector.cpp
+++ b/libraries/mesh/row_source_selector.cpp
@@ -118,13 +118,13 @@
     if ((impl.demanded_until > now && !is_store_unavailable) || zone == impl.by_zone.end()) {
         return store_source{};
     }
-    bool const may_follow = !is_store_unavailable;
     bool const is_leading = this->role() == store_role::leading;
     std::size_t skipped = 0;
-    bool is_replacement = false;
+    bool replaces_lost_node = false;
     for (auto const& [node, share] : zone->second) {
         bool const is_self = node.instance == impl.instance;
-        if ((may_follow && (is_self || is_replacement)) || skipped == max_skipped_nodes) {
+        bool const follows_store = !is_store_unavailable && (is_self || replaces_lost_node);
+        if (follows_store || skipped == max_skipped_nodes) {
             break;
         }
         if (is_self) {
@@ -134,7 +134,7 @@
         if (pause == nullptr) {
             return node;
         }
-        is_replacement |= is_leading && pause->has_lost_store;
+        replaces_lost_node |= is_leading && pause->has_lost_store;
         ++skipped;
     }
     return store_source{};
--- a/libraries/mesh/row_source_selector.h
+++ b/libraries/mesh/row_source_selector.h
@@ -19,9 +19,9 @@
 /// nodes. Instead, one node in each availability zone follows the feed and the others poll that
 /// node. It is the first in an order that every node derives from the member records. A node that
 /// does not respond or has lost the store is skipped for a while, so the next one in the order
-/// takes its place without coordination. The other leading nodes then follow the feed too, since
-/// the same fault may have hit several of them. A node that finds no usable peer follows the feed
-/// itself.
+/// takes its place without coordination. In place of a node that has lost the store, all leading
+/// nodes follow the feed, since the store may have turned several of them away. A node that finds
+/// no usable peer follows the feed itself.
 class row_source_selector {
 public:
     row_source_selector(std::string instance, std::string availability_zone);
