platform: read downloads as idempotent and unknown kinds strictly

`download` is idempotent. A node that holds a configuration which it knows in full keeps it, whole, and counts and logs the refusal. A node without one takes the new configuration and treats the requests of that route as not repeatable: a refusal would leave it with no routes at all, and nothing is run twice that way. A malformed configuration is still refused in every case.

--- a/libraries/core/result_code.cpp
+++ b/libraries/core/result_code.cpp
@@ -108,6 +108,8 @@
         return "platform_history_gone";
     case result_code::platform_record_malformed:
         return "platform_record_malformed";
+    case result_code::platform_value_unknown:
+        return "platform_value_unknown";
     case result_code::datagram_malformed:
         return "datagram_malformed";
     case result_code::member_unknown:
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -33,6 +33,12 @@
                                            "Requests that wait for a slot of the target."))
     , configuration_version(registry.register_gauge("peridot_configuration_version",
                                                     "Version of the configuration in force."))
+    , configuration_refusals(
+          registry.register_gauge("peridot_configuration_refusals",
+                                  "Configurations refused since the start of the process."))
+    , configuration_unknown_values(registry.register_gauge(
+          "peridot_configuration_unknown_values",
+          "Whether the configuration in force has values that this program does not know."))
     , request_duration(registry.register_latency("peridot_request_duration_seconds",
                                                  "Time from a request's arrival to its answer."))
     , target_duration(registry.register_latency("peridot_target_duration_seconds",
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -21,6 +21,8 @@
     gauge& gate_in_use;
     gauge& gate_waiting;
     gauge& configuration_version;
+    gauge& configuration_refusals;
+    gauge& configuration_unknown_values;
     latency_histogram& request_duration;
     latency_histogram& target_duration;
 };
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -268,6 +268,11 @@
     void apply_rows() {
         this->announcements.rows_changed();
         auto const view = this->views.load();
+        if (view) {
+            this->metrics.configuration_refusals.set(
+                static_cast<std::int64_t>(view->refused_configurations));
+            this->metrics.configuration_unknown_values.set(view->has_unknown_values ? 1 : 0);
+        }
         if (view && view->configuration) {
             this->metrics.configuration_version.set(
                 static_cast<std::int64_t>(view->configuration->version()));
--- a/libraries/sidecar/view_builder.cpp
+++ b/libraries/sidecar/view_builder.cpp
@@ -21,8 +21,17 @@
             return;
         }
         this->configuration_revision = row->revision;
-        auto decoded = decode_configuration(row->value);
+        auto handling = unknown_values::rejected;
+        auto decoded = decode_configuration(row->value, handling);
+        if (!is_ok(decoded) && this->accepts_unknown_values(failure(decoded))) {
+            log::write(log::level::warning, "configuration_value_unknown",
+                       {{"revision", static_cast<std::int64_t>(row->revision)},
+                        {"reason", describe(failure(decoded))}});
+            handling = unknown_values::read_as_strictest;
+            decoded = decode_configuration(row->value, handling);
+        }
         if (!is_ok(decoded)) {
+            ++this->refused_configurations;
             log::write(log::level::error, "configuration_refused",
                        {{"revision", static_cast<std::int64_t>(row->revision)},
                         {"reason", describe(failure(decoded))}});
@@ -36,12 +45,21 @@
             return;
         }
         this->configuration = value(decoded);
+        this->has_unknown_values = handling == unknown_values::read_as_strictest;
         log::write(log::level::info, "configuration_in_force",
                    {{"version", static_cast<std::int64_t>(this->configuration->version())},
                     {"revision", static_cast<std::int64_t>(row->revision)},
                     {"routes", static_cast<std::int64_t>(this->configuration->route_count())}});
     }
 
+    // A value that this program does not know is more likely to be a mistake than a new kind of
+    // value, so a configuration that is known in full stays in force. Without one, a rejection
+    // would leave the node with no routes at all.
+    bool accepts_unknown_values(error const& reason) const {
+        return reason.code == result_code::platform_value_unknown &&
+               (!this->configuration || this->has_unknown_values);
+    }
+
     // An address belongs to the node that registered it last; older records with the same address
     // are stale.
     static std::map<std::string, member> newest_by_address(row_replica const& rows) {
@@ -91,6 +109,8 @@
 
     std::shared_ptr<mesh_configuration const> configuration;
     std::uint64_t configuration_revision = 0;
+    bool has_unknown_values = false;
+    std::uint64_t refused_configurations = 0;
 };
 
 view_builder::view_builder() : self(std::make_unique<implementation>()) {}
@@ -101,6 +121,8 @@
     this->self->read_configuration(rows);
     auto view = std::make_shared<fleet_view>();
     view->configuration = this->self->configuration;
+    view->has_unknown_values = this->self->has_unknown_values;
+    view->refused_configurations = this->self->refused_configurations;
     for (auto& [ip, record] : implementation::newest_by_address(rows)) {
         view->members[record.target.service].push_back(std::move(record));
     }
--- a/libraries/sidecar/view_builder.h
+++ b/libraries/sidecar/view_builder.h
@@ -19,7 +19,9 @@
 /// Builds the view that requests are routed by from the rows of the replica.
 ///
 /// A configuration that is malformed or older than the current one is rejected, and the current one
-/// stays in force. Malformed member and roll-out rows are skipped.
+/// stays in force. So does the current one if a new one has a value that this program does not
+/// know; only a node that holds no configuration which it knows in full takes the new one, and
+/// reads such values in the strictest way. Malformed member and roll-out rows are skipped.
 class view_builder {
 public:
     view_builder();
--- a/tests/adapter/decoders_test.cpp
+++ b/tests/adapter/decoders_test.cpp
@@ -93,6 +93,32 @@
     }
 }
 
+// Guards against a fleet that serves nothing because the routes have a kind for large responses.
+TEST(decode_configuration, downloads_may_be_repeated) {
+    auto const read = decode_configuration(
+        replaced(configuration_text, "\"Kind\":\"non_idempotent\"", "\"Kind\":\"download\""));
+    CHECK(is_ok(read));
+    CHECK(value(read)->find("b.example", "/y/")->kind == request_kind::idempotent);
+}
+
+// Guards against an unknown kind that is taken for a malformed field, and against repeating
+// requests of a kind that may not be repeatable.
+TEST(decode_configuration, unknown_kind_is_read_as_not_repeatable) {
+    auto const text =
+        replaced(configuration_text, "\"Kind\":\"idempotent\"", "\"Kind\":\"sometimes\"");
+    auto const rejected = decode_configuration(text);
+    CHECK(!is_ok(rejected));
+    CHECK(failure(rejected).code == result_code::platform_value_unknown);
+    auto const read = decode_configuration(text, unknown_values::read_as_strictest);
+    CHECK(is_ok(read));
+    CHECK(value(read)->find("a.example", "/x/1")->kind == request_kind::non_idempotent);
+    for (auto const& malformed_kind : {"\"Kind\":\"\"", "\"Kind\":7"}) {
+        auto const malformed_text =
+            replaced(configuration_text, "\"Kind\":\"idempotent\"", malformed_kind);
+        CHECK(!is_ok(decode_configuration(malformed_text, unknown_values::read_as_strictest)));
+    }
+}
+
 // Guards against malformed input that crashes the process.
 TEST(decode_configuration, mutated_text_is_rejected_or_decoded) {
     std::mt19937_64 random(mutation_seed);
