http: receive and write large bodies part by part

A response was held whole at each hop: a body above 64 MiB was refused, many large ones at once could fill the memory of a node, and a stated length alone reserved memory. An exchange may now return the rest of a large body as a body_stream: the next part is received when the reader asks for it, so a slow reader slows the sender down, and a reader that leaves closes the source. A body that is cut stays visible to the client in every framing: short of its length, without its last chunk, or by a reset where only the end of the connection marks the end. Without the option, exchanges work as before.

connection_pool had over 400 lines and four jobs; the connection, the table of idle ones and the receiving of one response are classes of their own now, and http_server no longer writes responses itself.

Ruled out: storing bodies up to the limit and refusing more, which serves no large body at all.

--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -1,94 +1,33 @@
 #include "http/connection_pool.h"
 
 #include "http/beast_messages.h"
+#include "http/body_source.h"
+#include "http/body_stream.h"
+#include "http/client_connection.h"
+#include "http/connection_table.h"
+#include "http/response_receiver.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
-#include <charconv>
-#include <cstring>
-#include <map>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <vector>
+#include <optional>
 
 namespace peridot {
 
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using tcp = asio::ip::tcp;
+namespace http = boost::beast::http;
 
 constexpr auto to_tuple = asio::as_tuple(asio::use_awaitable);
 
-// Shorter than the server's idle timeout of 60 s, so that the client closes idle connections first.
-constexpr milliseconds max_idle_time{20'000};
-// For requests that must not be sent twice. Long enough for two nodes with steady traffic to reuse
-// their connections.
-constexpr milliseconds recent_idle_limit{1000};
-// TCP options that close a connection to an unresponsive peer when sent data or keep-alive probes
-// stay unacknowledged.
-using keep_alive_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-using keep_alive_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-using keep_alive_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-using unacknowledged_limit = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-constexpr int keep_alive_seconds = 1;
-constexpr int keep_alive_probes = 2;
-constexpr int unacknowledged_milliseconds = 1500;
 constexpr std::size_t max_mismatched_responses = 4;
-constexpr std::size_t idle_connections_per_address = 32;
-// Limits headers, chunk extensions and trailers, which a parser can only process as a whole.
-constexpr std::size_t max_buffer_bytes = std::size_t{128} * 1024;
 // A body up to this size is received whatever other bodies take.
 constexpr std::size_t guaranteed_body_bytes = std::size_t{64} * 1024;
-constexpr seconds sweep_period{5};
-
-struct connection {
-    explicit connection(asio::io_context& context) : stream(context) {}
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer{max_buffer_bytes};
-    steady_time last_used;
-    /// Time for which the idle connection may be reused: the server's idle timeout less a margin.
-    milliseconds idle_limit = max_idle_time;
-};
-
-using response_parser = http::response_parser<http::string_body>;
-using connection_pointer = std::unique_ptr<connection>;
-
-// On a usable idle connection there is nothing to read: neither data nor the end of the stream.
-bool is_alive(connection& candidate) {
-    char byte = 0;
-    auto const received =
-        ::recv(candidate.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) &&
-           candidate.buffer.size() == 0;
-}
-
-// The idle timeout from the server's Keep-Alive field, less a margin for network latency.
-milliseconds granted_idle_time(http::fields const& headers) {
-    auto const field = headers[http::field::keep_alive];
-    auto const position = field.find("timeout=");
-    unsigned granted = 0;
-    if (position == beast::string_view::npos ||
-        std::from_chars(field.data() + position + std::strlen("timeout="),
-                        field.data() + field.size(), granted)
-                .ec != std::errc{}) {
-        return max_idle_time;
-    }
-    return std::min(max_idle_time, milliseconds(seconds(granted)) * 7 / 10);
-}
 
 exchange_failure make_failure(result_code code, socket_address const& address,
                               std::string const& reason, exchange_progress progress) {
@@ -112,12 +51,7 @@
 class connection_pool::implementation {
 public:
     implementation(asio::io_context& io, http_limits bounds, std::size_t per_address)
-        : context(io), limits(bounds), connections_per_address(per_address) {}
-
-    struct address_state {
-        std::size_t open = 0;
-        std::vector<connection_pointer> idle;
-    };
+        : limits(bounds), table(io, per_address) {}
 
     // Owns a connection for the duration of an exchange and closes it on destruction unless it was
     // returned to the pool.
@@ -127,7 +61,7 @@
             : owner(std::move(owner)), address(std::move(address)) {}
         ~connection_checkout() {
             if (this->current) {
-                this->owner->close(this->address, std::move(this->current));
+                this->owner->table.close(this->address, std::move(this->current));
             }
         }
         connection_checkout(connection_checkout const&) = delete;
@@ -136,14 +70,35 @@
         connection_checkout& operator=(connection_checkout&&) = delete;
 
         void return_to_pool() {
-            this->owner->return_to_pool(this->address, std::move(this->current));
+            this->owner->table.put_idle(this->address, std::move(this->current));
         }
 
-        connection_pointer current;
-
-    private:
         std::shared_ptr<implementation> owner;
         socket_address address;
+        detail::connection_table::connection_pointer current;
+    };
+
+    // A response that is being received, and its connection.
+    struct incoming_response {
+        incoming_response(std::shared_ptr<connection_checkout> source, http_limits const& limits,
+                          exchange_options const& options, detail::expected_body expected)
+            : checkout(std::move(source))
+            , receiver(*this->checkout->current, limits.header_bytes,
+                       options.whole_body_bytes ? std::nullopt
+                                                : std::optional<std::uint64_t>(limits.body_bytes),
+                       expected) {}
+
+        // Trailing bytes belong to no request of this client; the connection is not reused.
+        void release_connection() {
+            auto& used = *this->checkout->current;
+            if (this->receiver.keeps_connection() && used.buffer.size() == 0) {
+                used.idle_limit = this->receiver.granted_idle_time();
+                this->checkout->return_to_pool();
+            }
+        }
+
+        std::shared_ptr<connection_checkout> checkout;
+        detail::response_receiver receiver;
     };
 
     // Counts the size of a body that is being received, for the lifetime of the object.
@@ -169,126 +124,115 @@
         std::size_t size = 0;
     };
 
-    // Reads one response. The body is counted while it grows, so that it cannot exceed the limits.
-    static asio::awaitable<boost::system::error_code>
-    read_response(implementation& self, connection& source, response_parser& parser) {
+    // Receives the response, whole unless the options allow a stream for a body of its size. The
+    // body is counted while it grows, so that it cannot exceed the limits.
+    static asio::awaitable<boost::system::error_code> receive(implementation& self,
+                                                              detail::response_receiver& receiver,
+                                                              exchange_options const& options) {
         received_body body(self);
-        // Header and body are parsed in one step if they have arrived together.
-        parser.eager(true);
-        while (!parser.is_done()) {
-            auto const [read_error, size] =
-                co_await http::async_read_some(source.stream, source.buffer, parser, to_tuple);
-            if (read_error == http::error::end_of_stream && parser.got_some()) {
-                boost::system::error_code end_error;
-                parser.put_eof(end_error);
-                co_return end_error;
+        while (!receiver.is_complete()) {
+            auto const failed = co_await receiver.receive_some();
+            if (failed) {
+                co_return failed;
             }
-            if (read_error) {
-                co_return read_error;
-            }
-            if (!body.grow_to(parser.get().body().size())) {
-                co_return http::make_error_code(http::error::body_limit);
+            bool const has_room = body.grow_to(receiver.body_size());
+            if (!options.whole_body_bytes) {
+                if (!has_room) {
+                    co_return http::make_error_code(http::error::body_limit);
+                }
+            } else if (!has_room || receiver.body_size() > *options.whole_body_bytes) {
+                break;
             }
         }
         co_return boost::system::error_code{};
     }
 
-    connection_pointer take_idle(socket_address const& address, connection_reuse reuse) {
-        auto const found = this->addresses.find(address);
-        if (found == this->addresses.end()) {
-            return nullptr;
-        }
-        auto const now = std::chrono::steady_clock::now();
-        auto& idle = found->second.idle;
-        while (!idle.empty()) {
-            auto candidate = std::move(idle.back());
-            idle.pop_back();
-            if (now - candidate->last_used < candidate->idle_limit && is_alive(*candidate)) {
-                if (reuse == connection_reuse::any ||
-                    now - candidate->last_used < recent_idle_limit) {
-                    return candidate;
-                }
-                idle.push_back(std::move(candidate));
-                return nullptr;
+    // Receives the rest of a response that belongs to another request.
+    static asio::awaitable<boost::system::error_code>
+    discard_rest(detail::response_receiver& receiver) {
+        receiver.take_body();
+        while (!receiver.is_complete()) {
+            auto const failed = co_await receiver.receive_some();
+            receiver.take_body();
+            if (failed) {
+                co_return failed;
             }
-            this->close(address, std::move(candidate));
         }
-        return nullptr;
+        co_return boost::system::error_code{};
     }
 
-    connection_pointer create_connection(socket_address const& address) {
-        auto& state = this->addresses[address];
-        if (state.open >= this->connections_per_address && !state.idle.empty()) {
-            this->close(address, std::move(state.idle.front()));
-            state.idle.erase(state.idle.begin());
+    // Receives the next part of a body that is returned as a stream.
+    static asio::awaitable<body_part> read_part(std::shared_ptr<incoming_response> incoming) {
+        auto& receiver = incoming->receiver;
+        while (receiver.body_size() == 0 && !receiver.is_complete()) {
+            auto const failed = co_await receiver.receive_some();
+            if (failed) {
+                co_return error{result_code::request_answer_incomplete,
+                                to_string(incoming->checkout->address) + ": " + failed.message()};
+            }
+        }
+        if (receiver.body_size() > 0) {
+            co_return receiver.take_body();
         }
-        if (state.open >= this->connections_per_address) {
-            return nullptr;
+        if (incoming->checkout->current) {
+            incoming->release_connection();
         }
-        ++state.open;
-        return std::make_unique<connection>(this->context);
+        co_return body_end{};
     }
 
-    void return_to_pool(socket_address const& address, connection_pointer released) {
-        auto& state = this->addresses[address];
-        if (state.idle.size() >= idle_connections_per_address) {
-            this->close(address, std::move(released));
-            return;
-        }
-        released->last_used = std::chrono::steady_clock::now();
-        released->stream.expires_never();
-        state.idle.push_back(std::move(released));
+    static std::shared_ptr<body_stream>
+    make_stream(std::shared_ptr<incoming_response> const& incoming) {
+        body_source source;
+        source.read = [incoming] { return read_part(incoming); };
+        source.cancel = [incoming] {
+            if (incoming->checkout->current) {
+                incoming->checkout->current->stream.cancel();
+            }
+        };
+        source.remaining = incoming->receiver.remaining_length();
+        return std::make_shared<body_stream>(std::move(source));
     }
 
-    void close(socket_address const& address, connection_pointer released) {
-        released.reset();
-        --this->addresses[address].open;
+    std::size_t connections(socket_address const& address) const {
+        return this->table.count(address);
     }
 
-    // Closes connections that exceed their idle limit and removes addresses without connections.
-    void sweep() {
-        auto const now = std::chrono::steady_clock::now();
-        if (now - this->last_sweep < sweep_period) {
-            return;
+    // Provides an idle or a new connection; returns the failure if there is none.
+    static asio::awaitable<std::optional<exchange_failure>>
+    open(std::shared_ptr<connection_checkout> checkout, steady_time deadline,
+         exchange_options const& options) {
+        auto& table = checkout->owner->table;
+        checkout->current = table.take_idle(checkout->address, options.reuse);
+        if (checkout->current) {
+            co_return std::nullopt;
         }
-        this->last_sweep = now;
-        for (auto entry = this->addresses.begin(); entry != this->addresses.end();) {
-            auto& state = entry->second;
-            state.open -= std::erase_if(state.idle, [&](connection_pointer const& candidate) {
-                return now - candidate->last_used >= candidate->idle_limit;
-            });
-            entry = state.open == 0 ? this->addresses.erase(entry) : std::next(entry);
+        checkout->current = table.create(checkout->address);
+        if (!checkout->current) {
+            co_return make_failure(result_code::request_overloaded, checkout->address,
+                                   "connection limit of the address reached",
+                                   exchange_progress::not_sent);
         }
-    }
-
-    std::size_t connections(socket_address const& address) const {
-        auto const found = this->addresses.find(address);
-        return found == this->addresses.end() ? 0 : found->second.open;
+        auto const limit =
+            std::min(deadline, std::chrono::steady_clock::now() + options.connect_timeout);
+        auto const failed = co_await checkout->current->connect(checkout->address, limit);
+        if (failed) {
+            co_return make_failure(result_code::request_connect_failed, checkout->address,
+                                   failed.message(), exchange_progress::not_sent);
+        }
+        co_return std::nullopt;
     }
 
     static asio::awaitable<exchange_result> exchange(std::shared_ptr<implementation> self,
                                                      socket_address address, http_request request,
                                                      steady_time deadline,
                                                      exchange_options options) {
-        self->sweep();
-        connection_checkout checkout(self, address);
-        checkout.current = self->take_idle(address, options.reuse);
-        if (!checkout.current) {
-            checkout.current = self->create_connection(address);
-            if (!checkout.current) {
-                co_return make_failure(result_code::request_overloaded, address,
-                                       "connection limit of the address reached",
-                                       exchange_progress::not_sent);
-            }
-            boost::system::error_code const connect_error =
-                co_await connect(*checkout.current, address, deadline, options.connect_timeout);
-            if (connect_error) {
-                co_return make_failure(result_code::request_connect_failed, address,
-                                       connect_error.message(), exchange_progress::not_sent);
-            }
+        self->table.sweep();
+        auto const checkout = std::make_shared<connection_checkout>(self, address);
+        if (auto unopened = co_await open(checkout, deadline, options)) {
+            co_return std::move(*unopened);
         }
         auto message = to_message(address, std::move(request));
-        auto& stream = checkout.current->stream;
+        auto& stream = checkout->current->stream;
         stream.expires_at(deadline);
         auto const [write_error, written] = co_await http::async_write(stream, message, to_tuple);
         if (write_error) {
@@ -296,41 +240,37 @@
                 result_code::request_outcome_unknown, address, write_error.message(),
                 written == 0 ? exchange_progress::not_sent : exchange_progress::sent);
         }
+        auto const expected = message.method() == http::verb::head ? detail::expected_body::none
+                                                                   : detail::expected_body::any;
         for (std::size_t skipped = 0; skipped <= max_mismatched_responses; ++skipped) {
-            response_parser parser;
-            parser.body_limit(self->limits.body_bytes);
-            parser.header_limit(self->limits.header_bytes);
-            parser.skip(message.method() == http::verb::head);
-            auto const read_error = co_await read_response(*self, *checkout.current, parser);
+            auto const incoming =
+                std::make_shared<incoming_response>(checkout, self->limits, options, expected);
+            auto& receiver = incoming->receiver;
+            auto const read_error = co_await receive(*self, receiver, options);
             if (read_error) {
-                bool const has_begun = parser.got_some();
+                bool const has_begun = receiver.has_begun();
                 co_return make_failure(has_begun ? result_code::request_answer_incomplete
                                                  : result_code::request_outcome_unknown,
                                        address, read_error.message(), exchange_progress::sent);
             }
-            bool const is_unframed =
-                parser.need_eof() && !parser.chunked() && !parser.content_length();
-            if (is_unframed && !options.accepts_close_delimited) {
+            if (receiver.is_unframed() && !options.accepts_close_delimited) {
                 co_return make_failure(
                     result_code::request_answer_incomplete, address,
                     "response has no length, so a truncated body could not be detected",
                     exchange_progress::sent);
             }
-            auto received = parser.release();
-            bool const keeps_alive = received.keep_alive() && !is_unframed;
-            auto const idle_limit = granted_idle_time(received);
-            http_response response{received.result_int(), detail::from_beast(received),
-                                   std::move(received.body())};
+            auto response = receiver.head();
             if (options.match && options.match(response) == response_match::mismatched) {
-                if (!keeps_alive) {
+                if (co_await discard_rest(receiver) || !receiver.keeps_connection()) {
                     break;
                 }
                 continue;
             }
-            // Trailing bytes belong to no request of this client; the connection is not reused.
-            if (keeps_alive && checkout.current->buffer.size() == 0) {
-                checkout.current->idle_limit = idle_limit;
-                checkout.return_to_pool();
+            response.body = receiver.take_body();
+            if (receiver.is_complete()) {
+                incoming->release_connection();
+            } else {
+                response.rest = make_stream(incoming);
             }
             co_return response;
         }
@@ -340,36 +280,9 @@
     }
 
 private:
-    static asio::awaitable<boost::system::error_code> connect(connection& opened,
-                                                              socket_address const& address,
-                                                              steady_time deadline,
-                                                              milliseconds timeout) {
-        boost::system::error_code failed;
-        auto const ip = asio::ip::make_address(address.ip, failed);
-        if (failed) {
-            co_return failed;
-        }
-        opened.stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + timeout));
-        auto const [connect_error] =
-            co_await opened.stream.async_connect(tcp::endpoint(ip, address.port), to_tuple);
-        if (!connect_error) {
-            opened.stream.socket().set_option(tcp::no_delay(true), failed);
-            opened.stream.socket().set_option(asio::socket_base::keep_alive(true), failed);
-            opened.stream.socket().set_option(keep_alive_idle(keep_alive_seconds), failed);
-            opened.stream.socket().set_option(keep_alive_interval(keep_alive_seconds), failed);
-            opened.stream.socket().set_option(keep_alive_count(keep_alive_probes), failed);
-            opened.stream.socket().set_option(unacknowledged_limit(unacknowledged_milliseconds),
-                                              failed);
-        }
-        co_return connect_error;
-    }
-
-    asio::io_context& context;
     http_limits limits;
-    std::size_t connections_per_address;
+    detail::connection_table table;
     std::size_t received_bytes = 0;
-    std::map<socket_address, address_state> addresses;
-    steady_time last_sweep;
 };
 
 connection_pool::connection_pool(asio::io_context& context, http_limits limits,
--- a/libraries/http/http_response.h
+++ b/libraries/http/http_response.h
@@ -7,11 +7,15 @@
 
 namespace peridot {
 
-/// A complete HTTP response.
+class body_stream;
+
+/// An HTTP response, complete but for the part of its body that a stream still provides.
 struct http_response {
     unsigned status = 200;
     header_list headers;
     std::string body;
+    /// What follows the body; null if the body is complete.
+    std::shared_ptr<body_stream> rest;
     /// Whether the server closes the connection after this response.
     bool closes_connection = false;
     /// Released by the server when the response has been written or discarded.
--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -2,6 +2,8 @@
 
 #include "core/log.h"
 #include "http/beast_messages.h"
+#include "http/body_stream.h"
+#include "http/response_writer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -17,7 +19,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <atomic>
@@ -179,12 +180,21 @@
 
         void close() {
             this->is_closed = true;
+            this->cancel_body();
             boost::system::error_code ignored;
             this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
             this->stream.cancel();
             this->notify();
         }
 
+        // The body of the response that is being written need not be received any further.
+        void cancel_body() {
+            if (!this->pending.empty() && this->pending.front()->response &&
+                this->pending.front()->response->rest) {
+                this->pending.front()->response->rest->cancel();
+            }
+        }
+
         implementation& server;
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
@@ -359,11 +369,13 @@
             bool const is_last = client->pending.size() == 1;
             bool const stays_open = exchange->keeps_alive &&
                                     !exchange->response->closes_connection &&
+                                    detail::is_framed(*exchange->response, exchange->version) &&
                                     !(self->is_stopping && is_last);
             // Requests after the last response are not started: the client treats them as unread.
             client->has_stopped_reading |= !stays_open;
-            bool const is_written =
-                co_await self->write_response(client->stream, *exchange, stays_open);
+            bool const is_written = co_await detail::write_response(
+                client->stream, *exchange->response,
+                {exchange->version, exchange->is_head, stays_open, self->limits.idle_timeout});
             client->pop();
             if (!is_written) {
                 break;
@@ -392,24 +404,6 @@
         client->close();
     }
 
-    asio::awaitable<bool> write_response(beast::tcp_stream& stream,
-                                         pending_exchange const& exchange, bool stays_open) {
-        auto const& response = *exchange.response;
-        http::response<http::string_body> message(http::int_to_status(response.status),
-                                                  exchange.version);
-        message.result(response.status);
-        detail::to_beast(response.headers, message);
-        message.keep_alive(stays_open);
-        message.body() = response.body;
-        message.prepare_payload();
-        if (exchange.is_head) {
-            message.body().clear();
-        }
-        stream.expires_after(this->limits.idle_timeout);
-        auto const [failed, size] = co_await http::async_write(stream, message, to_tuple);
-        co_return !failed;
-    }
-
     asio::io_context& context;
     tcp::acceptor acceptor;
     handler respond;
--- /dev/null
+++ b/libraries/http/response_format.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/time.h"
+
+namespace peridot::detail {
+
+/// How a response is written, which depends on its request and its connection.
+struct response_format {
+    unsigned http_version = 11;
+    bool is_head = false;
+    bool keeps_connection = true;
+    /// Timeout for writing each part of the response.
+    milliseconds part_timeout{60'000};
+};
+
+} // namespace peridot::detail
--- a/tests/http/raw_client.cpp
+++ b/tests/http/raw_client.cpp
@@ -44,6 +44,38 @@
     return responses;
 }
 
+class raw_connection::implementation {
+public:
+    explicit implementation(socket_address const& address) { connect(this->socket, address); }
+
+    asio::io_context context;
+    tcp::socket socket{context};
+};
+
+raw_connection::raw_connection(socket_address const& address)
+    : self(std::make_unique<implementation>(address)) {}
+
+raw_connection::~raw_connection() = default;
+
+void raw_connection::send(std::string const& bytes) {
+    boost::system::error_code ignored;
+    asio::write(this->self->socket, asio::buffer(bytes), ignored);
+}
+
+std::string raw_connection::read_some() {
+    std::array<char, 4096> bytes{};
+    boost::system::error_code ended;
+    auto const size = this->self->socket.read_some(asio::buffer(bytes), ended);
+    return {bytes.data(), size};
+}
+
+std::string raw_connection::read_all() {
+    std::string bytes;
+    boost::system::error_code ended;
+    asio::read(this->self->socket, asio::dynamic_buffer(bytes), ended);
+    return bytes;
+}
+
 void wait_until_closed(socket_address const& address) {
     asio::io_context context;
     tcp::socket socket(context);
