sidecar: pass large responses on in parts

A body of more than 256 KiB is passed on while it arrives, on both hops. Up to that size a response is still received whole first, so that an idempotent request whose body is cut is sent to another target as long as nothing of it has reached the caller. The gate holds the target's slot until the end of the body. A body that is cut later ends the caller's connection without its end, counts as a failure of the target (log lines target_outcome_unknown and response_interrupted, metric peridot_responses_interrupted_total).

--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/call_entry.h"
 
 #include "core/log.h"
+#include "http/body_stream.h"
 #include "http/connection_pool.h"
 #include "mesh/caller_wait_estimator.h"
 #include "mesh/fleet_retry_budget.h"
@@ -13,6 +14,7 @@
 #include "observability/counter.h"
 #include "observability/latency_histogram.h"
 #include "platform/messages.h"
+#include "sidecar/body_limits.h"
 #include "sidecar/hop_message.h"
 #include "sidecar/request_placement.h"
 #include "sidecar/sidecar_metrics.h"
@@ -241,6 +243,7 @@
                             ? connection_reuse::any
                             : connection_reuse::recent_only;
         options.connect_timeout = connect_timeout;
+        options.whole_body_bytes = max_whole_body_bytes;
         socket_address const address{chosen.ip, this->identity.peer_port};
         auto outcome = co_await this->connections.exchange(
             address, std::move(request), to_steady_time(placement.call.deadline + hop_margin),
@@ -279,6 +282,9 @@
         if (!is_failure) {
             this->metrics.answered_requests.add();
             placement.reason = result_code::ok;
+            if (ran.answer.rest) {
+                this->observe_transfer(*ran.answer.rest, chosen, placement);
+            }
             return std::move(ran.answer);
         }
         log::write(log::level::info, "target_failed",
@@ -412,6 +418,21 @@
         this->selector.observe(chosen.instance, observed, boot_clock::now());
     }
 
+    // The caller sees a body that ends early; the request cannot be sent elsewhere any more.
+    void observe_transfer(body_stream& rest, member const& chosen,
+                          request_placement const& placement) {
+        rest.add_end_handler([this, instance = chosen.instance,
+                              request = placement.call.attempt_id](body_outcome outcome) {
+            if (outcome != body_outcome::failed) {
+                return;
+            }
+            this->metrics.interrupted_responses.add();
+            this->selector.observe(instance, target_observation::failed, boot_clock::now());
+            log::write(log::level::warning, "response_interrupted",
+                       {{"request", request}, {"instance", instance}});
+        });
+    }
+
     void observe_notice(member const& chosen, http_response const& answer) {
         if (auto const notice = read_target_notice(answer)) {
             this->notices.observe(chosen.target, *notice);
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -25,6 +25,9 @@
           registry.register_counter(requests_name, requests_help, {{"outcome", "no_route"}}))
     , retried_requests(registry.register_counter("peridot_requests_sent_again_total",
                                                  "Requests that reached a further target."))
+    , interrupted_responses(
+          registry.register_counter("peridot_responses_interrupted_total",
+                                    "Responses that ended after a part of the body was passed on."))
     , gate_refusals(registry.register_counter("peridot_gate_refusals_total",
                                               "Requests that the gate of the target refused."))
     , gate_in_use(registry.register_gauge("peridot_gate_slots_in_use",
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -17,6 +17,7 @@
     counter& unknown_outcomes;
     counter& unrouted_requests;
     counter& retried_requests;
+    counter& interrupted_responses;
     counter& gate_refusals;
     gauge& gate_in_use;
     gauge& gate_waiting;
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/target_gate.h"
 
 #include "core/log.h"
+#include "http/body_stream.h"
 #include "http/connection_pool.h"
 #include "mesh/decaying_failure_rate.h"
 #include "mesh/gate_queue.h"
@@ -8,6 +9,7 @@
 #include "observability/gauge.h"
 #include "observability/latency_histogram.h"
 #include "platform/messages.h"
+#include "sidecar/body_limits.h"
 #include "sidecar/recent_ids.h"
 #include "sidecar/sidecar_metrics.h"
 
@@ -98,7 +100,7 @@
         std::uint64_t const number = ++this->last_number;
         gate_request queued{number,        call.route,    call.priority, call.soft_deadline,
                             call.deadline, call.finish_by};
-        slot_guard guard(*this, number);
+        auto const guard = std::make_shared<slot_guard>(*this, number);
         auto decision = this->queue.offer(std::move(queued), boot_clock::now());
         if (std::holds_alternative<gate_wait>(decision)) {
             decision = co_await this->wait(number);
@@ -213,7 +215,7 @@
     }
 
     asio::awaitable<gate_answer> forward(gate_call const& call, http_request request,
-                                         slot_guard& guard) {
+                                         std::shared_ptr<slot_guard> guard) {
         auto const started = boot_clock::now();
         auto const current = this->queue.load(call.route, started);
         log::write(log::level::debug, "request_passed_on",
@@ -235,6 +237,7 @@
                                                               : connection_reuse::recent_only;
         options.connect_timeout = connect_timeout;
         options.accepts_close_delimited = true;
+        options.whole_body_bytes = max_whole_body_bytes;
         options.match = [id = call.attempt_id](http_response const& answer) {
             return match_answer(answer, id);
         };
@@ -277,12 +280,37 @@
             break;
         }
         observed.is_failure = answer.status >= first_failure_status;
-        guard.ended =
+        guard->ended =
             observed.is_failure ? gate_queue::outcome::failed : gate_queue::outcome::succeeded;
-        this->report(observed);
+        if (answer.rest) {
+            this->report_after_transfer(call, observed, answer, guard);
+        } else {
+            this->report(observed);
+        }
         co_return gate_ran{std::move(answer)};
     }
 
+    // The target is at work until the end of its response, so its slot is held until then. A body
+    // that is cut counts as a failure of the target.
+    void report_after_transfer(gate_call const& call, target_result const& observed,
+                               http_response& answer, std::shared_ptr<slot_guard> const& guard) {
+        answer.completion_guard = guard;
+        std::weak_ptr<slot_guard> const slot = guard;
+        answer.rest->add_end_handler([this, call, observed, slot](body_outcome outcome) {
+            auto result = observed;
+            if (outcome == body_outcome::failed) {
+                result.is_failure = true;
+                this->log_unknown_outcome(call, {result_code::request_answer_incomplete,
+                                                 "the target's response ended early"});
+            }
+            auto const held = slot.lock();
+            if (held && result.is_failure) {
+                held->ended = gate_queue::outcome::failed;
+            }
+            this->report(result);
+        });
+    }
+
     void observe_notice(gate_call const& call, http_response const& answer) {
         auto const observed = read_target_notice(answer);
         bool const is_current_target = this->target && this->target->id == call.target_id;
--- a/tests/processes/mesh_support/mesh_target.cpp
+++ b/tests/processes/mesh_support/mesh_target.cpp
@@ -1,5 +1,7 @@
 #include "processes/mesh_support/mesh_target.h"
 
+#include "http/body_source.h"
+#include "http/body_stream.h"
 #include "http/http_server.h"
 #include "processes/support/http_caller.h"
 
@@ -11,6 +13,7 @@
 #include <boost/json.hpp>
 
 #include <atomic>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <stdexcept>
@@ -25,6 +28,7 @@
 
 constexpr milliseconds heartbeat_period{200};
 constexpr unsigned slots = 8;
+constexpr std::size_t part_bytes = std::size_t{64} * 1024;
 
 } // namespace
 
@@ -82,10 +86,35 @@
         }
         answer.headers.set("X-Server-Seal", "seal-of-" + this->id);
         answer.status = this->is_failing ? 500 : 200;
-        answer.body = attempt + " done by " + this->id;
+        if (this->large_body_parts > 0) {
+            answer.rest = this->make_large_body();
+        } else {
+            answer.body = attempt + " done by " + this->id;
+        }
         co_return answer;
     }
 
+    std::shared_ptr<body_stream> make_large_body() {
+        body_source source;
+        source.remaining = this->large_body_parts * part_bytes;
+        source.read = [this, sent = std::make_shared<std::size_t>(0)] {
+            return this->next_part((*sent)++);
+        };
+        return std::make_shared<body_stream>(std::move(source));
+    }
+
+    asio::awaitable<body_part> next_part(std::size_t index) {
+        if (index >= this->cut_after_parts) {
+            co_return error{result_code::request_answer_incomplete, "the body is cut"};
+        }
+        if (index >= this->large_body_parts) {
+            co_return body_end{};
+        }
+        asio::steady_timer pause(this->context, this->part_pause.load());
+        co_await pause.async_wait(asio::use_awaitable);
+        co_return std::string(part_bytes, 'x');
+    }
+
     asio::awaitable<void> announce() {
         asio::steady_timer timer(this->context);
         for (std::uint64_t sequence = 1; !this->has_stopped_heartbeats; ++sequence) {
@@ -120,6 +149,9 @@
     std::atomic<milliseconds> work_time{milliseconds(1)};
     std::atomic<bool> is_failing{false};
     std::atomic<int> lost_answers{0};
+    std::atomic<std::size_t> large_body_parts{0};
+    std::atomic<std::size_t> cut_after_parts{SIZE_MAX};
+    std::atomic<milliseconds> part_pause{milliseconds(0)};
     /// Negative while the target states no limit.
     std::atomic<double> rate_limit{-1};
     std::atomic<bool> is_leaving{false};
@@ -144,6 +176,15 @@
     this->self->lost_answers = count;
 }
 
+void mesh_target::set_large_bodies(std::size_t parts, milliseconds pause) {
+    this->self->large_body_parts = parts;
+    this->self->part_pause = pause;
+}
+
+void mesh_target::cut_bodies_after(std::size_t parts) {
+    this->self->cut_after_parts = parts;
+}
+
 void mesh_target::set_work_time(milliseconds time) {
     this->self->work_time = time;
 }
--- a/tests/processes/mesh_support/mesh_target.h
+++ b/tests/processes/mesh_support/mesh_target.h
@@ -33,6 +33,11 @@
     void set_rate_limit(double requests_per_second);
     /// States in every response that the target drains.
     void set_leaving(bool is_leaving);
+    /// Answers with a body of this many parts of 64 KiB, and pauses before each; zero for the usual
+    /// body.
+    void set_large_bodies(std::size_t parts, milliseconds pause = milliseconds(0));
+    /// Closes the connection after this many parts of a large body.
+    void cut_bodies_after(std::size_t parts);
     /// Stops sending heartbeats.
     void stop_heartbeats();
     /// Deregisters the target; returns whether the call was acknowledged.
--- a/tests/processes/mesh_support/sidecar_fleet.cpp
+++ b/tests/processes/mesh_support/sidecar_fleet.cpp
@@ -176,6 +176,14 @@
     }
 }
 
+socket_address sidecar_fleet::heartbeats_address(mesh_instance const& instance) {
+    return {instance.ip, heartbeats_port};
+}
+
+socket_address sidecar_fleet::control_address(mesh_instance const& instance) {
+    return {instance.ip, control_port};
+}
+
 socket_address sidecar_fleet::peers_address(mesh_instance const& instance) {
     return {instance.ip, peers_port};
 }
--- a/tests/processes/mesh_support/sidecar_fleet.h
+++ b/tests/processes/mesh_support/sidecar_fleet.h
@@ -77,6 +77,9 @@
     /// instance behind a proxy accepts them.
     static socket_address peers_address(mesh_instance const& instance);
     static socket_address proxied_peers_address(mesh_instance const& instance);
+    /// The addresses of the node's heartbeats and of its exchange with other nodes.
+    static socket_address heartbeats_address(mesh_instance const& instance);
+    static socket_address control_address(mesh_instance const& instance);
     /// Whether the node accepts new requests.
     bool is_ready(mesh_instance const& instance);
     /// Prints the logs and the output of all nodes.
--- a/tests/processes/mesh_support/store_standin.cpp
+++ b/tests/processes/mesh_support/store_standin.cpp
@@ -156,12 +156,31 @@
             asio::steady_timer timer(this->context, this->delay.load());
             co_await timer.async_wait(asio::use_awaitable);
         }
+        if (this->is_garbling) {
+            answer.body = this->unreadable(std::move(answer.body));
+        }
         if (this->is_losing_answers) {
             throw std::runtime_error("the response is dropped");
         }
         co_return answer;
     }
 
+    // Returns one unreadable body after the other: cut, of the wrong types, too deep, no JSON.
+    std::string unreadable(std::string body) {
+        switch (this->garbled_bodies++ % 5) {
+        case 0:
+            return body.substr(0, body.size() / 2);
+        case 1:
+            return R"({"Rows":[{"Table":7,"Key":null,"Value":5,"SchemaVersion":-1},8],"NowS":"x"})";
+        case 2:
+            return std::string(20'000, '[');
+        case 3:
+            return "[]";
+        default:
+            return "\xff\xfe not JSON";
+        }
+    }
+
     asio::awaitable<http_response> answer(http_request request) {
         if (request.target == "/rows-tx") {
             co_return this->commit(request.body);
@@ -200,6 +219,9 @@
     std::atomic<bool> is_silent{false};
     std::atomic<bool> is_unavailable{false};
     std::atomic<bool> is_losing_answers{false};
+    std::atomic<bool> is_garbling{false};
+    /// Used by the stand-in's thread only.
+    std::size_t garbled_bodies = 0;
     std::atomic<milliseconds> delay{milliseconds(0)};
     std::atomic<int> waiting{0};
 };
@@ -244,6 +266,10 @@
     this->self->delay = delay;
 }
 
+void store_standin::set_garbling(bool is_garbling) {
+    this->self->is_garbling = is_garbling;
+}
+
 void store_standin::set_losing_answers(bool is_losing) {
     this->self->is_losing_answers = is_losing;
 }
--- a/tests/processes/mesh_support/store_standin.h
+++ b/tests/processes/mesh_support/store_standin.h
@@ -37,6 +37,8 @@
     void set_unavailable(bool is_unavailable);
     /// Delays each response.
     void set_delay(milliseconds delay);
+    /// While set, the body of each response is unreadable.
+    void set_garbling(bool is_garbling);
     /// Processes requests but closes the connection instead of responding.
     void set_losing_answers(bool is_losing);
 
