sidecar: write the records of targets together and read less at a start

A record goes to the node that follows the store for the zone, which writes what arrives within 40 ms in one transaction and writes the parts one by one if that meets a conflict. A follower that has lost the store refuses without a call, and a node then tries by itself after 2 to 4 s. A node that starts reads the members first and takes the operator's table from the follower of its zone.

Steps of roll-outs keep their own calls: they must not wait.

--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -65,6 +65,7 @@
 // the other table by then.
 constexpr milliseconds pause_for_members{1000};
 constexpr milliseconds pause_for_configuration{1500};
+constexpr milliseconds longest_wait_for_members{1500};
 // A row that another node already holds usually arrives from the regular source within this time.
 constexpr milliseconds propagation_time{300};
 
@@ -86,7 +87,7 @@
               [this] {
                   return row_query_handler::copy_state{this->covered(), this->is_current()};
               })
-        , writer(pool, client, settings.control_port)
+        , writer(io, pool, client, settings.control_port)
         , search(settings.ip, settings.availability_zone) {
         this->add_feed(std::string(store_keys::operator_table), configuration_wait);
         this->add_feed(std::string(fleet_keys::table), members_wait);
@@ -120,8 +121,8 @@
                *this->store_clock_offset;
     }
 
-    asio::awaitable<commit_outcome> commit(std::vector<replica_row> rows) {
-        auto outcome = co_await this->writer.write(rows);
+    asio::awaitable<commit_outcome> commit(std::vector<replica_row> rows, commit_path path) {
+        auto outcome = co_await this->write(rows, path);
         if (auto const* done = std::get_if<commit_done>(&outcome)) {
             this->observe_store_time(done->store_time);
             for (auto& row : rows) {
@@ -143,7 +144,12 @@
             malformed.status = 400;
             co_return malformed;
         }
-        co_return write_commit_outcome(co_await self->writer.write_to_store(std::move(*rows)));
+        // The calls of this node's feeds show when the store is back.
+        if (self->is_store_unavailable()) {
+            co_return write_commit_outcome(
+                error{result_code::platform_unavailable, "this node has lost the store"});
+        }
+        co_return write_commit_outcome(co_await self->writer.write_for_others(std::move(*rows)));
     }
 
     // Shares ownership of the implementation: a pending response may outlive the owner of the
@@ -174,7 +180,7 @@
     }
 
     bool is_initial_read_over() const {
-        return this->has_all_snapshots() || this->is_store_unavailable();
+        return this->has_members() || this->is_store_unavailable();
     }
 
     asio::io_context& context;
@@ -201,9 +207,35 @@
                                                          changes_wait, std::move(callbacks)));
     }
 
+    // The members tell which node of the availability zone already holds the operator's table, so
+    // they are read first. While they list no other node, these may just be starting too.
+    static asio::awaitable<void> wait_for_members(std::shared_ptr<implementation> self) {
+        auto const limit = std::chrono::steady_clock::now() + longest_wait_for_members;
+        while (!self->has_members() || !self->sources.has_zone_peers()) {
+            if (self->is_store_unavailable() || std::chrono::steady_clock::now() >= limit) {
+                co_return;
+            }
+            co_await self->pause(initial_choice_period);
+        }
+    }
+
+    // NOTE: g++ 12 destroys the result of a conditional expression twice if its operands contain
+    // co_await.
+    asio::awaitable<commit_outcome> write(std::vector<replica_row> rows, commit_path path) {
+        if (path == commit_path::direct) {
+            co_return co_await this->writer.write(std::move(rows));
+        }
+        co_return co_await this->writer.write_shared(std::move(rows));
+    }
+
     // Follows a table whenever this node has to follow the store, until the process ends.
     static asio::awaitable<void> follow_table(std::shared_ptr<implementation> self,
                                               table_feed& feed) {
+        if (&feed != &self->members_feed()) {
+            co_await wait_for_members(self);
+            // The selection of a source takes the members into account first.
+            co_await self->pause(2 * initial_choice_period);
+        }
         for (;;) {
             while (!self->follows_store) {
                 co_await self->role_changed.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -221,8 +253,7 @@
         if (this->sources.has_zone_peers()) {
             co_return;
         }
-        bool const is_operator_table =
-            &feed == this->feeds.find(store_keys::operator_table)->second.get();
+        bool const is_operator_table = &feed != &this->members_feed();
         co_await this->pause(is_operator_table ? pause_for_configuration : pause_for_members);
     }
 
@@ -275,6 +306,10 @@
                                    [](auto const& entry) { return entry.second->has_snapshot(); });
     }
 
+    table_feed& members_feed() const { return *this->feeds.find(fleet_keys::table)->second; }
+
+    bool has_members() const { return this->members_feed().has_snapshot(); }
+
     bool is_current() const { return this->follows_store && !this->is_store_unavailable(); }
 
     table_revisions covered() const {
@@ -462,8 +497,9 @@
                    asio::detached);
 }
 
-asio::awaitable<commit_outcome> fleet_sync::commit(std::vector<replica_row> rows) {
-    return this->self->commit(std::move(rows));
+asio::awaitable<commit_outcome> fleet_sync::commit(std::vector<replica_row> rows,
+                                                   commit_path path) {
+    return this->self->commit(std::move(rows), path);
 }
 
 bool fleet_sync::is_initial_read_over() const {
--- a/libraries/sidecar/fleet_sync.h
+++ b/libraries/sidecar/fleet_sync.h
@@ -8,6 +8,7 @@
 #include "mesh/fleet_view.h"
 #include "mesh/replica_row.h"
 #include "platform/store_commit.h"
+#include "sidecar/commit_path.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -52,10 +53,10 @@
 
     /// Writes rows in one transaction, on the condition that they have the given revisions. Written
     /// and conflicting rows are applied to the replica.
-    boost::asio::awaitable<commit_outcome> commit(std::vector<replica_row> rows);
+    boost::asio::awaitable<commit_outcome> commit(std::vector<replica_row> rows, commit_path path);
 
     row_replica const& rows() const;
-    /// Whether all tables have been read, or the store is unavailable.
+    /// Whether the members have been read, or the store is unavailable.
     bool is_initial_read_over() const;
 
     /// The store's clock, or no value before the store's first response.
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -330,7 +330,7 @@
         rows.push_back({std::string(store_keys::status_table), status_key,
                         encode_rollout_status(next),
                         this->revision_of(store_keys::status_table, status_key), false});
-        auto const outcome = co_await this->fleet.commit(std::move(rows));
+        auto const outcome = co_await this->fleet.commit(std::move(rows), commit_path::direct);
         if (std::holds_alternative<commit_done>(outcome)) {
             log::write(log::level::info, "rollout_step",
                        {{"service", next.service},
--- a/libraries/sidecar/row_writer.cpp
+++ b/libraries/sidecar/row_writer.cpp
@@ -1,9 +1,12 @@
 #include "sidecar/row_writer.h"
 
 #include "core/log.h"
+#include "core/random_source.h"
 #include "http/connection_pool.h"
+#include "mesh/store_backoff.h"
 #include "platform/store_client.h"
 #include "sidecar/commit_message.h"
+#include "sidecar/row_batch.h"
 #include "sidecar/row_conversion.h"
 
 #include <boost/asio/use_awaitable.hpp>
@@ -29,8 +32,14 @@
 
 class row_writer::implementation {
 public:
-    implementation(connection_pool& pool, store_client& client, std::uint16_t control_port)
-        : connections(pool), store(client), port(control_port) {}
+    implementation(asio::io_context& io, connection_pool& pool, store_client& client,
+                   std::uint16_t control_port)
+        : connections(pool)
+        , store(client)
+        , port(control_port)
+        , batch(io, [this](std::vector<replica_row> rows) {
+            return this->write_to_store(std::move(rows));
+        }) {}
 
     static asio::awaitable<commit_outcome> write(std::shared_ptr<implementation> self,
                                                  std::vector<replica_row> rows) {
@@ -48,6 +57,34 @@
         co_return co_await self->write_via(*self->delegate, std::move(rows));
     }
 
+    static asio::awaitable<commit_outcome> write_shared(std::shared_ptr<implementation> self,
+                                                        std::vector<replica_row> rows) {
+        if (self->delegate) {
+            auto outcome = co_await self->write_via(*self->delegate, rows);
+            if (!std::holds_alternative<error>(outcome)) {
+                co_return outcome;
+            }
+        }
+        if (std::chrono::steady_clock::now() < self->store_retried_at) {
+            co_return error{result_code::platform_unavailable,
+                            "the store did not take the last write of this node"};
+        }
+        auto outcome = co_await self->batch.write(std::move(rows));
+        self->observe_write(outcome);
+        co_return outcome;
+    }
+
+    // All nodes with a change would otherwise try a lost store at the rate of their own retries.
+    void observe_write(commit_outcome const& outcome) {
+        if (std::holds_alternative<error>(outcome)) {
+            this->store_retried_at = std::chrono::steady_clock::now() +
+                                     this->backoff.next(store_role::relying, this->random);
+        } else {
+            this->backoff.reset();
+            this->store_retried_at = {};
+        }
+    }
+
     asio::awaitable<commit_outcome> write_to_store(std::vector<replica_row> rows) {
         store_transaction transaction;
         transaction.writes = to_store_rows(std::move(rows));
@@ -80,10 +117,16 @@
     std::uint16_t port;
     std::optional<peer_source> delegate;
     steady_time delegated_until;
+    /// After a failed write to the store, the next one of this node's own rows.
+    steady_time store_retried_at;
+    store_backoff backoff;
+    random_source random = make_random_source();
+    row_batch batch;
 };
 
-row_writer::row_writer(connection_pool& connections, store_client& store, std::uint16_t port)
-    : self(std::make_shared<implementation>(connections, store, port)) {}
+row_writer::row_writer(asio::io_context& context, connection_pool& connections, store_client& store,
+                       std::uint16_t port)
+    : self(std::make_shared<implementation>(context, connections, store, port)) {}
 
 row_writer::~row_writer() = default;
 
@@ -95,8 +138,12 @@
     return implementation::write(this->self, std::move(rows));
 }
 
-asio::awaitable<commit_outcome> row_writer::write_to_store(std::vector<replica_row> rows) {
-    return this->self->write_to_store(std::move(rows));
+asio::awaitable<commit_outcome> row_writer::write_shared(std::vector<replica_row> rows) {
+    return implementation::write_shared(this->self, std::move(rows));
+}
+
+asio::awaitable<commit_outcome> row_writer::write_for_others(std::vector<replica_row> rows) {
+    return this->self->batch.write(std::move(rows));
 }
 
 } // namespace peridot
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -175,7 +175,7 @@
             std::vector<replica_row> rows;
             rows.push_back({std::string(fleet_keys::table), self->key(), text,
                             row == nullptr ? std::uint64_t{0} : row->revision, false});
-            auto const outcome = co_await self->fleet.commit(std::move(rows));
+            auto const outcome = co_await self->fleet.commit(std::move(rows), commit_path::shared);
             if (std::holds_alternative<commit_done>(outcome)) {
                 self->recorded_text = text;
                 backoff = milliseconds(0);
--- a/tests/processes/mesh_support/store_standin.cpp
+++ b/tests/processes/mesh_support/store_standin.cpp
@@ -129,6 +129,7 @@
         for (auto const& item : body.at("SetKeys").as_array()) {
             row_key const key{std::string(item.at("Table").as_string()),
                               std::string(item.at("Key").as_string())};
+            ++this->written_rows;
             this->rows[key] = {from_base64(std::string(item.at("Value").as_string())).value_or(""),
                                this->revision};
         }
@@ -146,6 +147,7 @@
     }
 
     asio::awaitable<http_response> respond(http_request request) {
+        this->requested_transactions += request.target == "/rows-tx" ? 1 : 0;
         if (this->is_unavailable) {
             http_response unavailable;
             unavailable.status = 503;
@@ -224,6 +226,8 @@
     std::size_t garbled_bodies = 0;
     std::atomic<milliseconds> delay{milliseconds(0)};
     std::atomic<int> waiting{0};
+    std::atomic<int> requested_transactions{0};
+    std::atomic<int> written_rows{0};
 };
 
 store_standin::store_standin(std::string const& ip) : self(std::make_unique<implementation>(ip)) {}
@@ -254,6 +258,14 @@
     return found == this->self->rows.end() ? std::string() : found->second.value;
 }
 
+int store_standin::requested_transactions() const {
+    return this->self->requested_transactions;
+}
+
+int store_standin::written_rows() const {
+    return this->self->written_rows;
+}
+
 int store_standin::waiting_feeds() const {
     return this->self->waiting;
 }
--- a/tests/processes/mesh_support/store_standin.h
+++ b/tests/processes/mesh_support/store_standin.h
@@ -28,6 +28,9 @@
     void put(std::string const& table, std::string const& key, std::string const& value);
     /// Returns the row's value; empty if the row does not exist.
     std::string value(std::string const& table, std::string const& key) const;
+    /// Number of transactions that nodes have requested, and of rows that these have written.
+    int requested_transactions() const;
+    int written_rows() const;
     /// Number of calls to the feed that wait for a change.
     int waiting_feeds() const;
     /// While set, the first address accepts connections and calls but sends no responses, including
