--- a/tests/limits/limit_parts_test.cpp
+++ b/tests/limits/limit_parts_test.cpp
@@ -2,6 +2,7 @@
 #include "limits/limit_message.h"
 #include "limits/local_limiter.h"
 #include "limits/max_min_division.h"
+#include "limits/token_bucket.h"
 
 #include "core/random_source.h"
 
@@ -21,6 +22,23 @@
 
 } // namespace
 
+TEST_GROUP(token_bucket){};
+
+// Guards against a time that exceeds 64 bits, and against tokens that a node gains, while its share is
+// tiny for a moment: on aarch64 the sum overflowed.
+TEST(token_bucket, tiny_share_gives_no_tokens_when_it_grows_again) {
+    bucket_bounds const usual{milliseconds(1), 10.0};
+    bucket_bounds const tiny{nanoseconds::max(), 4.0};
+    token_bucket bucket;
+    for (int token = 0; token < 10; ++token) {
+        CHECK_FALSE(bucket.try_take(usual, start).has_value());
+    }
+    bucket.convert(usual, tiny, start);
+    CHECK(bucket.try_take(tiny, start).has_value());
+    bucket.convert(tiny, usual, start);
+    CHECK(bucket.try_take(usual, start).has_value());
+}
+
 TEST_GROUP(limit_message){};
 
 // Guards against datagrams that fragment, and against entries lost between them.
