http: move the connection of a server out of http_server

They are classes with headers of their own now; the code is the same but for read_loop, whose co_await behind && in the condition of a loop g++ 12 miscompiled once the function before it moved (SIGTRAP in every test with a server).

--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -2,31 +2,25 @@
 
 #include "core/log.h"
 #include "http/beast_messages.h"
-#include "http/body_stream.h"
 #include "http/response_writer.h"
+#include "http/server_connection.h"
+#include "http/server_connections.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
-#include <atomic>
-#include <cerrno>
-#include <deque>
 #include <optional>
 #include <sys/socket.h>
-#include <unordered_set>
 #include <vector>
 
 namespace peridot {
@@ -39,21 +33,11 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto to_tuple = asio::as_tuple(asio::use_awaitable);
-constexpr unsigned http_version_1_1 = 11;
 constexpr milliseconds sweep_period{1000};
 // Time for the client to read the last response and to close its side.
 constexpr milliseconds linger_time{500};
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-// Returns whether the client has already closed the connection, for example while this process was
-// suspended.
-bool has_disconnected(tcp::socket& socket) {
-    char byte = 0;
-    auto const received =
-        ::recv(socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 http_response make_error_response(boost::system::error_code reason) {
     unsigned const status = reason == http::error::body_limit     ? 413
                             : reason == http::error::header_limit ? 431
@@ -111,7 +95,7 @@
     void close_after_next_response() { this->is_stopping = true; }
 
     void close_idle_connections() {
-        for (auto* candidate : this->connections) {
+        for (auto* candidate : this->connections.open) {
             if (candidate->is_idle()) {
                 candidate->close();
             }
@@ -120,8 +104,8 @@
 
     void cancel_handlers() {
         // Completion of a handler may close its connection and remove it from the set.
-        std::vector<std::shared_ptr<pending_exchange>> running;
-        for (auto const* candidate : this->connections) {
+        std::vector<std::shared_ptr<detail::pending_exchange>> running;
+        for (auto const* candidate : this->connections.open) {
             std::ranges::copy_if(candidate->pending, std::back_inserter(running),
                                  [](auto const& exchange) { return !exchange->is_done; });
         }
@@ -132,80 +116,10 @@
 
     void set_limits(http_limits const& bounds) { this->limits = bounds; }
 
-    std::size_t requests_in_flight() const { return this->in_flight; }
+    std::size_t requests_in_flight() const { return this->connections.requests_in_flight; }
 
 private:
-    // A request of a connection and its position in the response order.
-    struct pending_exchange {
-        std::optional<http_response> response;
-        bool is_done = false;
-        bool keeps_alive = true;
-        bool is_head = false;
-        unsigned version = http_version_1_1;
-        asio::cancellation_signal cancel;
-    };
-
-    // A connection: one coroutine reads requests, another writes the responses in request order.
-    struct connection {
-        connection(implementation& owner, tcp::socket socket)
-            : server(owner), stream(std::move(socket)), state_changed(owner.context) {
-            this->state_changed.expires_at(asio::steady_timer::time_point::max());
-            this->server.connections.insert(this);
-        }
-        ~connection() {
-            this->server.connections.erase(this);
-            this->server.in_flight -= this->pending.size();
-        }
-        connection(connection const&) = delete;
-        connection& operator=(connection const&) = delete;
-        connection(connection&&) = delete;
-        connection& operator=(connection&&) = delete;
-
-        void push(std::shared_ptr<pending_exchange> exchange) {
-            this->pending.push_back(std::move(exchange));
-            ++this->server.in_flight;
-        }
-
-        // Removes the oldest exchange after its response was written.
-        void pop() {
-            this->pending.pop_front();
-            --this->server.in_flight;
-            this->last_used = std::chrono::steady_clock::now();
-            this->notify();
-        }
-
-        bool is_idle() const { return this->pending.empty() && !this->is_receiving; }
-
-        void notify() { this->state_changed.cancel(); }
-
-        void close() {
-            this->is_closed = true;
-            this->cancel_body();
-            boost::system::error_code ignored;
-            this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-            this->stream.cancel();
-            this->notify();
-        }
-
-        // The body of the response that is being written need not be received any further.
-        void cancel_body() {
-            if (!this->pending.empty() && this->pending.front()->response &&
-                this->pending.front()->response->rest) {
-                this->pending.front()->response->rest->cancel();
-            }
-        }
-
-        implementation& server;
-        beast::tcp_stream stream;
-        beast::flat_buffer buffer;
-        std::deque<std::shared_ptr<pending_exchange>> pending;
-        asio::steady_timer state_changed;
-        steady_time last_used = std::chrono::steady_clock::now();
-        bool is_receiving = false;
-        bool has_stopped_reading = false;
-        bool is_closed = false;
-    };
-    using connection_pointer = std::shared_ptr<connection>;
+    using connection_pointer = std::shared_ptr<detail::server_connection>;
 
     static asio::awaitable<void> accept_loop(std::shared_ptr<implementation> self) {
         asio::co_spawn(self->context, sweep_loop(self), asio::detached);
@@ -217,11 +131,12 @@
                 co_await pause.async_wait(to_tuple);
                 continue;
             }
-            if (self->connections.size() >= self->limits.connections) {
+            if (self->connections.open.size() >= self->limits.connections) {
                 continue;
             }
             socket.set_option(tcp::no_delay(true), failed);
-            auto const accepted = std::make_shared<connection>(*self, std::move(socket));
+            auto const accepted =
+                std::make_shared<detail::server_connection>(self->connections, std::move(socket));
             asio::co_spawn(self->context, read_loop(self, accepted), asio::detached);
             asio::co_spawn(self->context, write_loop(self, accepted), asio::detached);
         }
@@ -236,9 +151,9 @@
             auto const now = std::chrono::steady_clock::now();
             // In order of last use, so that when a client observes a close, all connections that
             // have been idle for longer are closed too.
-            std::vector<connection*> by_last_use(self->connections.begin(),
-                                                 self->connections.end());
-            std::ranges::sort(by_last_use, {}, &connection::last_used);
+            std::vector<detail::server_connection*> by_last_use(self->connections.open.begin(),
+                                                                self->connections.open.end());
+            std::ranges::sort(by_last_use, {}, &detail::server_connection::last_used);
             for (auto* candidate : by_last_use) {
                 if (candidate->is_idle() &&
                     now - candidate->last_used > self->limits.idle_timeout) {
@@ -250,7 +165,12 @@
 
     static asio::awaitable<void> read_loop(std::shared_ptr<implementation> self,
                                            connection_pointer client) {
-        while (!client->is_closed && co_await self->read_request(client)) {
+        while (!client->is_closed) {
+            // NOTE: g++ 12 miscompiles co_await behind an operator in the condition of a loop.
+            bool const is_read = co_await self->read_request(client);
+            if (!is_read) {
+                break;
+            }
             while (!client->is_closed &&
                    client->pending.size() >= self->limits.pipelined_requests) {
                 co_await client->state_changed.async_wait(to_tuple);
@@ -258,9 +178,7 @@
         }
         if (!client->has_stopped_reading) {
             // The client has disconnected; the pending responses can no longer be delivered.
-            for (auto const& exchange : client->pending) {
-                exchange->cancel.emit(asio::cancellation_type::terminal);
-            }
+            client->cancel_handlers();
             client->close();
         }
         client->notify();
@@ -272,7 +190,7 @@
         if (client->buffer.size() == 0) {
             auto const [failed] =
                 co_await stream.socket().async_wait(tcp::socket::wait_read, to_tuple);
-            if (failed || has_disconnected(stream.socket())) {
+            if (failed || client->has_disconnected()) {
                 co_return false;
             }
         }
@@ -286,7 +204,7 @@
             if (!is_protocol_error(read_error)) {
                 co_return false;
             }
-            auto const rejected = std::make_shared<pending_exchange>();
+            auto const rejected = std::make_shared<detail::pending_exchange>();
             rejected->response = make_error_response(read_error);
             rejected->keeps_alive = false;
             rejected->is_done = true;
@@ -295,7 +213,7 @@
             co_return false;
         }
         stream.expires_never();
-        if (client->has_stopped_reading || has_disconnected(stream.socket())) {
+        if (client->has_stopped_reading || client->has_disconnected()) {
             co_return false;
         }
         this->start_handler(client, parser.release());
@@ -303,7 +221,7 @@
     }
 
     asio::awaitable<boost::system::error_code>
-    receive(connection& client, http::request_parser<http::string_body>& parser) {
+    receive(detail::server_connection& client, http::request_parser<http::string_body>& parser) {
         client.stream.expires_after(this->limits.header_timeout);
         auto const [header_error, header_size] =
             co_await http::async_read_header(client.stream, client.buffer, parser, to_tuple);
@@ -317,7 +235,7 @@
     }
 
     void start_handler(connection_pointer const& client, http::request<http::string_body> message) {
-        auto const exchange = std::make_shared<pending_exchange>();
+        auto const exchange = std::make_shared<detail::pending_exchange>();
         exchange->keeps_alive = message.keep_alive();
         exchange->version = message.version();
         exchange->is_head = message.method() == http::verb::head;
@@ -333,7 +251,7 @@
     // If the handler fails, the exchange has no response and its connection is closed.
     static asio::awaitable<void> run_handler(std::shared_ptr<implementation> self,
                                              connection_pointer client,
-                                             std::shared_ptr<pending_exchange> exchange,
+                                             std::shared_ptr<detail::pending_exchange> exchange,
                                              http_request request) {
         try {
             exchange->response = co_await self->respond(std::move(request));
@@ -393,9 +311,7 @@
     // time to close its side.
     static asio::awaitable<void> close_gracefully(std::shared_ptr<implementation> self,
                                                   connection_pointer client) {
-        for (auto const& exchange : client->pending) {
-            exchange->cancel.emit(asio::cancellation_type::terminal);
-        }
+        client->cancel_handlers();
         client->has_stopped_reading = true;
         boost::system::error_code ignored;
         client->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -408,9 +324,7 @@
     tcp::acceptor acceptor;
     handler respond;
     http_limits limits;
-    std::unordered_set<connection*> connections;
-    /// Written by the server's thread only; read by any thread.
-    std::atomic<std::size_t> in_flight{0};
+    detail::server_connections connections;
     bool is_stopping = false;
 };
 
