--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -291,9 +291,10 @@
                                     !(self->is_stopping && is_last);
             // Requests after the last response are not started: the client treats them as unread.
             client->has_stopped_reading |= !stays_open;
-            bool const is_written = co_await detail::write_response(
-                client->stream, *exchange->response,
-                {exchange->version, exchange->is_head, stays_open, self->limits.idle_timeout});
+            detail::response_format const format{exchange->version, exchange->is_head, stays_open,
+                                                 self->limits.idle_timeout};
+            bool const is_written =
+                co_await detail::write_response(client->stream, *exchange->response, format);
             client->pop();
             if (!is_written) {
                 break;
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -149,7 +149,7 @@
             co_return write_commit_outcome(
                 error{result_code::platform_unavailable, "this node has lost the store"});
         }
-        co_return write_commit_outcome(co_await self->writer.write_for_others(std::move(*rows)));
+        co_return write_commit_outcome(co_await self->writer.write_combined(std::move(*rows)));
     }
 
     // Shares ownership of the implementation: a pending response may outlive the owner of the
@@ -225,6 +225,9 @@
         if (path == commit_path::direct) {
             co_return co_await this->writer.write(std::move(rows));
         }
+        if (this->is_current()) {
+            co_return co_await this->writer.write_combined(std::move(rows));
+        }
         co_return co_await this->writer.write_shared(std::move(rows));
     }
 
--- a/libraries/sidecar/row_writer.cpp
+++ b/libraries/sidecar/row_writer.cpp
@@ -142,7 +142,7 @@
     return implementation::write_shared(this->self, std::move(rows));
 }
 
-asio::awaitable<commit_outcome> row_writer::write_for_others(std::vector<replica_row> rows) {
+asio::awaitable<commit_outcome> row_writer::write_combined(std::vector<replica_row> rows) {
     return this->self->batch.write(std::move(rows));
 }
 
--- a/libraries/sidecar/row_writer.h
+++ b/libraries/sidecar/row_writer.h
@@ -43,8 +43,9 @@
     /// most calls fail without asking the store.
     boost::asio::awaitable<commit_outcome> write_shared(std::vector<replica_row> rows);
 
-    /// Writes rows of other nodes to the store, combined with those that arrive at the same time.
-    boost::asio::awaitable<commit_outcome> write_for_others(std::vector<replica_row> rows);
+    /// Writes rows to the store, combined with those that arrive from other nodes at the same time.
+    /// For a node that follows the store.
+    boost::asio::awaitable<commit_outcome> write_combined(std::vector<replica_row> rows);
 
 private:
     class implementation;
--- a/libraries/sidecar/table_feed.cpp
+++ b/libraries/sidecar/table_feed.cpp
@@ -46,8 +46,12 @@
         , callbacks(std::move(callbacks)) {}
 
     asio::awaitable<step_kind> step(store_role role) {
-        auto const kind = this->needs_snapshot ? co_await this->read_snapshot()
-                                               : co_await this->read_changes(role);
+        auto kind = step_kind::failed;
+        if (this->needs_snapshot) {
+            kind = co_await this->read_snapshot();
+        } else {
+            kind = co_await this->read_changes(role);
+        }
         if (kind == step_kind::failed) {
             co_await this->pause(this->backoff.next(role, this->random));
         }
