--- a/libraries/http/growing_body.h
+++ b/libraries/http/growing_body.h
@@ -18,8 +18,8 @@
 
     class reader {
     public:
-        template<bool isRequest, class Fields>
-        reader(boost::beast::http::header<isRequest, Fields>& /*head*/, value_type& target)
+        template<bool IsRequest, class Fields>
+        reader(boost::beast::http::header<IsRequest, Fields>& /*head*/, value_type& target)
             : body(target) {}
 
         void init(boost::optional<std::uint64_t> const& /*length*/,
--- a/tests/limits/limit_parts_test.cpp
+++ b/tests/limits/limit_parts_test.cpp
@@ -24,8 +24,8 @@
 
 TEST_GROUP(token_bucket){};
 
-// Guards against a time that exceeds 64 bits, and against tokens that a node gains, while its share is
-// tiny for a moment: on aarch64 the sum overflowed.
+// Guards against a time that exceeds 64 bits, and against tokens that a node gains, while its share
+// is tiny for a moment: on aarch64 the sum overflowed.
 TEST(token_bucket, tiny_share_gives_no_tokens_when_it_grows_again) {
     bucket_bounds const usual{milliseconds(1), 10.0};
     bucket_bounds const tiny{nanoseconds::max(), 4.0};
