--- a/tests/processes/mesh_support/store_standin.cpp
+++ b/tests/processes/mesh_support/store_standin.cpp
@@ -159,7 +159,7 @@
             co_await timer.async_wait(asio::use_awaitable);
         }
         if (this->is_garbling) {
-            answer.body = this->unreadable(std::move(answer.body));
+            answer.body = this->unreadable(answer.body);
         }
         if (this->is_losing_answers) {
             throw std::runtime_error("the response is dropped");
@@ -168,7 +168,7 @@
     }
 
     // Returns one unreadable body after the other: cut, of the wrong types, too deep, no JSON.
-    std::string unreadable(std::string body) {
+    std::string unreadable(std::string const& body) {
         switch (this->garbled_bodies++ % 5) {
         case 0:
             return body.substr(0, body.size() / 2);
