--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -225,10 +225,8 @@
         if (path == commit_path::direct) {
             co_return co_await this->writer.write(std::move(rows));
         }
-        if (this->is_current()) {
-            co_return co_await this->writer.write_combined(std::move(rows));
-        }
-        co_return co_await this->writer.write_shared(std::move(rows));
+        auto const use = this->is_current() ? delegation::none : delegation::allowed;
+        co_return co_await this->writer.write_shared(std::move(rows), use);
     }
 
     // Follows a table whenever this node has to follow the store, until the process ends.
--- a/libraries/sidecar/row_writer.cpp
+++ b/libraries/sidecar/row_writer.cpp
@@ -58,8 +58,9 @@
     }
 
     static asio::awaitable<commit_outcome> write_shared(std::shared_ptr<implementation> self,
-                                                        std::vector<replica_row> rows) {
-        if (self->delegate) {
+                                                        std::vector<replica_row> rows,
+                                                        delegation use) {
+        if (self->delegate && use == delegation::allowed) {
             auto outcome = co_await self->write_via(*self->delegate, rows);
             if (!std::holds_alternative<error>(outcome)) {
                 co_return outcome;
@@ -138,8 +139,9 @@
     return implementation::write(this->self, std::move(rows));
 }
 
-asio::awaitable<commit_outcome> row_writer::write_shared(std::vector<replica_row> rows) {
-    return implementation::write_shared(this->self, std::move(rows));
+asio::awaitable<commit_outcome> row_writer::write_shared(std::vector<replica_row> rows,
+                                                         delegation use) {
+    return implementation::write_shared(this->self, std::move(rows), use);
 }
 
 asio::awaitable<commit_outcome> row_writer::write_combined(std::vector<replica_row> rows) {
--- a/libraries/sidecar/row_writer.h
+++ b/libraries/sidecar/row_writer.h
@@ -4,6 +4,7 @@
 #include "mesh/replica_row.h"
 #include "mesh/row_source.h"
 #include "platform/store_commit.h"
+#include "sidecar/delegation.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -38,13 +39,13 @@
     /// response. Uses another node only while the store does not serve this one.
     boost::asio::awaitable<commit_outcome> write(std::vector<replica_row> rows);
 
-    /// Writes rows as above, through the node that follows the store if there is one, which
-    /// combines them with those of other nodes. While neither that node nor the store takes them,
-    /// most calls fail without asking the store.
-    boost::asio::awaitable<commit_outcome> write_shared(std::vector<replica_row> rows);
+    /// Writes rows as above, through the node that follows the store if there is one and it may be
+    /// used. Either way they are combined with those of other nodes. While neither that node nor
+    /// the store takes them, most calls fail without asking the store.
+    boost::asio::awaitable<commit_outcome> write_shared(std::vector<replica_row> rows,
+                                                        delegation use);
 
-    /// Writes rows to the store, combined with those that arrive from other nodes at the same time.
-    /// For a node that follows the store.
+    /// Writes rows of other nodes to the store, combined with those that arrive at the same time.
     boost::asio::awaitable<commit_outcome> write_combined(std::vector<replica_row> rows);
 
 private:
