sidecar: read the operator's table at the start again

Cause: a starting node took the operator's table from the follower of its zone, which is starting as well and may not yet listen. It saved one call a node and start, which is worth less than the wait.

--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -65,7 +65,6 @@
 // the other table by then.
 constexpr milliseconds pause_for_members{1000};
 constexpr milliseconds pause_for_configuration{1500};
-constexpr milliseconds longest_wait_for_members{1500};
 // A row that another node already holds usually arrives from the regular source within this time.
 constexpr milliseconds propagation_time{300};
 
@@ -207,18 +206,6 @@
                                                          changes_wait, std::move(callbacks)));
     }
 
-    // The members tell which node of the availability zone already holds the operator's table, so
-    // they are read first. While they list no other node, these may just be starting too.
-    static asio::awaitable<void> wait_for_members(std::shared_ptr<implementation> self) {
-        auto const limit = std::chrono::steady_clock::now() + longest_wait_for_members;
-        while (!self->has_members() || !self->sources.has_zone_peers()) {
-            if (self->is_store_unavailable() || std::chrono::steady_clock::now() >= limit) {
-                co_return;
-            }
-            co_await self->pause(initial_choice_period);
-        }
-    }
-
     // NOTE: g++ 12 destroys the result of a conditional expression twice if its operands contain
     // co_await.
     asio::awaitable<commit_outcome> write(std::vector<replica_row> rows, commit_path path) {
@@ -232,11 +219,6 @@
     // Follows a table whenever this node has to follow the store, until the process ends.
     static asio::awaitable<void> follow_table(std::shared_ptr<implementation> self,
                                               table_feed& feed) {
-        if (&feed != &self->members_feed()) {
-            co_await wait_for_members(self);
-            // The selection of a source takes the members into account first.
-            co_await self->pause(2 * initial_choice_period);
-        }
         for (;;) {
             while (!self->follows_store) {
                 co_await self->role_changed.async_wait(asio::as_tuple(asio::use_awaitable));
