http: name the version of HTTP once and read raw answers in one place

Setting "chunked" for a body that ends with its connection had no effect and is gone. Behaviour is unchanged.

--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -5,6 +5,7 @@
 #include "http/body_stream.h"
 #include "http/client_connection.h"
 #include "http/connection_table.h"
+#include "http/http_version.h"
 #include "http/response_receiver.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -36,7 +37,7 @@
 
 http::request<http::string_body> to_message(socket_address const& address, http_request&& request) {
     http::request<http::string_body> message;
-    message.version(11);
+    message.version(detail::http_version_1_1);
     message.method_string(request.method);
     message.target(request.target);
     message.set(http::field::host, request.host.empty() ? to_string(address) : request.host);
--- a/libraries/http/pending_exchange.h
+++ b/libraries/http/pending_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/http_response.h"
+#include "http/http_version.h"
 
 #include <boost/asio/cancellation_signal.hpp>
 
@@ -14,7 +15,7 @@
     bool is_done = false;
     bool keeps_alive = true;
     bool is_head = false;
-    unsigned version = 11;
+    unsigned version = http_version_1_1;
     boost::asio::cancellation_signal cancel;
 };
 
--- a/libraries/http/response_writer.cpp
+++ b/libraries/http/response_writer.cpp
@@ -2,6 +2,7 @@
 
 #include "http/beast_messages.h"
 #include "http/body_stream.h"
+#include "http/http_version.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -27,7 +28,6 @@
 namespace http = beast::http;
 
 constexpr auto to_tuple = asio::as_tuple(asio::use_awaitable);
-constexpr unsigned http_version_1_1 = 11;
 
 template<typename Body>
 http::response<Body> make_head(http_response const& response, response_format const& format) {
@@ -111,8 +111,8 @@
     auto head = make_head<http::empty_body>(response, format);
     if (framing == body_framing::length) {
         head.content_length(response.body.size() + *response.rest->length());
-    } else {
-        head.chunked(framing == body_framing::chunks);
+    } else if (framing == body_framing::chunks) {
+        head.chunked(true);
     }
     http::response_serializer<http::empty_body> serializer(head);
     stream.expires_after(format.part_timeout);
--- a/libraries/mesh/rollout_plan.h
+++ b/libraries/mesh/rollout_plan.h
@@ -16,8 +16,8 @@
 ///
 /// Over its whole duration, a rollout may send a tenth of the service's requests to a bad version.
 /// The shares before the last step therefore add up to so little that a version which turns out bad
-/// only with all requests can still be rolled back within that. The last step comes
-/// early enough to detect a bad version or to complete in time.
+/// only with all requests can still be rolled back within that. The last step comes early enough to
+/// detect a bad version or to complete in time.
 move_plan make_rollout_plan(rollout const& current);
 
 /// Settings of the judge for rollouts.
--- a/tests/http/raw_client.cpp
+++ b/tests/http/raw_client.cpp
@@ -33,17 +33,6 @@
     socket.read_some(asio::buffer(response), ignored);
 }
 
-std::string send_and_read(socket_address const& address, std::string const& bytes) {
-    asio::io_context context;
-    tcp::socket socket(context);
-    connect(socket, address);
-    boost::system::error_code ignored;
-    asio::write(socket, asio::buffer(bytes), ignored);
-    std::string responses;
-    asio::read(socket, asio::dynamic_buffer(responses), ignored);
-    return responses;
-}
-
 class raw_connection::implementation {
 public:
     explicit implementation(socket_address const& address) { connect(this->socket, address); }
@@ -76,6 +65,12 @@
     return bytes;
 }
 
+std::string send_and_read(socket_address const& address, std::string const& bytes) {
+    raw_connection connection(address);
+    connection.send(bytes);
+    return connection.read_all();
+}
+
 void wait_until_closed(socket_address const& address) {
     asio::io_context context;
     tcp::socket socket(context);
