sidecar: tell a blocked version from a draining target

A gate refused with request_draining when its target drains or is gone, when the node stops, and when it holds the version of its target for condemned.

Code 4018 request_version_blocked, the event version_blocked and the metric peridot_gate_version_blocked name the last case. Nodes without this change treat the new code like a draining member. Which requests are refused is as before.

--- a/libraries/core/result_code.h
+++ b/libraries/core/result_code.h
@@ -60,6 +60,7 @@
     request_too_large = 4015,
     request_not_ready = 4016,
     request_duplicate = 4017,
+    request_version_blocked = 4018,
 
     // 5xxx: platform.
     platform_unavailable = 5001,
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -34,6 +34,9 @@
                                           "Requests that the target is at work on."))
     , gate_waiting(registry.register_gauge("peridot_gate_waiting_requests",
                                            "Requests that wait for a slot of the target."))
+    , gate_version_blocked(registry.register_gauge(
+          "peridot_gate_version_blocked",
+          "Whether the gate refuses every request because the target's version is condemned."))
     , configuration_version(registry.register_gauge("peridot_configuration_version",
                                                     "Version of the configuration in force."))
     , configuration_refusals(
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -21,6 +21,7 @@
     counter& gate_refusals;
     gauge& gate_in_use;
     gauge& gate_waiting;
+    gauge& gate_version_blocked;
     gauge& configuration_version;
     gauge& configuration_refusals;
     gauge& configuration_unknown_values;
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -130,19 +130,26 @@
             this->queue.set_rate_limit(std::nullopt, boot_clock::now());
         }
         this->target = next;
-        bool const accepts_requests =
-            next && next->state == target_state::ready && next->version != this->blocked_version;
+        bool const is_blocked = this->is_target_blocked();
+        this->metrics.gate_version_blocked.set(is_blocked ? 1 : 0);
+        bool const accepts_requests = next && next->state == target_state::ready && !is_blocked;
         this->queue.set_slots(accepts_requests ? next->slots : 0);
-        this->deliver_decisions(accepts_requests
-                                    ? this->queue.dispatch(boot_clock::now())
-                                    : this->queue.refuse_all(result_code::request_draining));
+        this->deliver_decisions(
+            accepts_requests
+                ? this->queue.dispatch(boot_clock::now())
+                : this->queue.refuse_all(is_blocked ? result_code::request_version_blocked
+                                                    : result_code::request_draining));
     }
 
     void block_version(std::string version) {
-        if (this->blocked_version != version) {
-            this->blocked_version = std::move(version);
-            this->set_target(this->target);
+        if (this->blocked_version == version) {
+            return;
         }
+        this->blocked_version = std::move(version);
+        this->set_target(this->target);
+        log::write(
+            log::level::warning, "version_blocked",
+            {{"version", this->blocked_version}, {"applies_to_target", this->is_target_blocked()}});
     }
 
     void set_stop_time(boot_time at) {
@@ -160,14 +167,20 @@
     }
 
 private:
+    bool is_target_blocked() const {
+        return this->target && this->target->version == this->blocked_version;
+    }
+
     std::optional<gate_refusal> check(gate_call const& call) const {
         if (!this->target) {
             return gate_refusal{result_code::request_no_endpoint, {}};
         }
-        if (this->target->state != target_state::ready ||
-            this->target->version == this->blocked_version) {
+        if (this->target->state != target_state::ready) {
             return gate_refusal{result_code::request_draining, {}};
         }
+        if (this->is_target_blocked()) {
+            return gate_refusal{result_code::request_version_blocked, {}};
+        }
         if (this->target->id != call.target_id) {
             return gate_refusal{result_code::request_misdirected, {}, this->target};
         }
