sidecar: let the recorded phase of a roll-out lift a gate's block

Cause: a gate blocked a condemned version by the verdict alone, and for good. The write that completes the roll-out had been sent before and took effect after the verdict, so the old targets stopped and the gates refused the only version left.

Now the blocked version follows from the recorded roll-out and the verdict for its order: a running one blocks its version with a verdict, one that was taken back always (also after a restart of the gate's node), a completed one or another order never. A service whose only version was ordered again is not blocked.

Failed before, pass now: rollout_verdict.service_is_served_after_its_condemned _version_was_completed (62 s without an answer), rollout_verdict.restarted_gate _blocks_a_version_that_was_taken_back. New: two of rollout_plan.

--- a/libraries/mesh/rollout_plan.cpp
+++ b/libraries/mesh/rollout_plan.cpp
@@ -62,6 +62,13 @@
     return wall_time(store_time);
 }
 
+std::string blocked_version(rollout const& recorded, bool is_condemned) {
+    bool const is_taken_back = recorded.phase == rollout_phase::rolled_back ||
+                               (recorded.phase == rollout_phase::running && is_condemned);
+    bool const has_other_version = recorded.from != recorded.to;
+    return is_taken_back && has_other_version ? recorded.to : std::string();
+}
+
 bool can_complete_rollout(rollout const& current, milliseconds last_step_since, milliseconds now) {
     return current.share >= 1 && now - last_step_since >= min_completion_time;
 }
--- a/libraries/mesh/rollout_plan.h
+++ b/libraries/mesh/rollout_plan.h
@@ -26,6 +26,11 @@
 /// Converts a time on the store's clock to the type that the judge uses.
 wall_time to_wall_time(milliseconds store_time);
 
+/// Returns the version that gates refuse, or an empty text. A verdict against the new version
+/// counts only until its roll-out ends. From then on the recorded phase decides, because the old
+/// targets stop with a completion even if a node has condemned the version meanwhile.
+std::string blocked_version(rollout const& recorded, bool is_condemned);
+
 /// Whether all requests have gone to the new version for long enough to complete the rollout.
 bool can_complete_rollout(rollout const& current, milliseconds last_step_since, milliseconds now);
 
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -86,6 +86,18 @@
                                               : this->accept_evidence(request);
     }
 
+    // Passes the version that the gate has to refuse to the gate if it has changed.
+    void update_blocked_version() {
+        auto const recorded = this->recorded_rollout();
+        auto blocked =
+            recorded ? blocked_version(*recorded, this->is_condemned(*recorded)) : std::string();
+        if (blocked == this->blocked) {
+            return;
+        }
+        this->blocked = blocked;
+        this->handlers.set_blocked_version(std::move(blocked));
+    }
+
 private:
     http_response accept_evidence(http_request const& request) {
         http_response answer;
@@ -108,24 +120,38 @@
 
     // The body is the id of a roll-out whose version was condemned by the node that steers it.
     http_response accept_verdict(http_request const& request) {
+        this->condemn(request.body);
+        return {};
+    }
+
+    // Records a verdict against the version of a roll-out of this node's service.
+    void condemn(std::string const& id) {
         auto const current = this->running_rollout();
-        if (current && rollout_id(*current) == request.body) {
-            this->handlers.block_version(current->to);
+        if (current && rollout_id(*current) == id) {
+            this->state_for(*current).is_condemned = true;
+            this->update_blocked_version();
         }
-        return {};
     }
 
-    // Returns the roll-out of this node's service that is in progress.
-    std::optional<rollout> running_rollout() const {
+    bool is_condemned(rollout const& recorded) const {
+        auto const found = this->states.find(recorded.order);
+        return found != this->states.end() && found->second.is_condemned;
+    }
+
+    // Returns the latest roll-out of this node's service.
+    std::optional<rollout> recorded_rollout() const {
         auto const view = this->views.load();
         if (!view) {
             return std::nullopt;
         }
         auto const found = view->rollouts.find(this->service);
-        if (found == view->rollouts.end() || found->second.phase != rollout_phase::running) {
-            return std::nullopt;
-        }
-        return found->second;
+        return found == view->rollouts.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    // Returns the roll-out of this node's service that is in progress.
+    std::optional<rollout> running_rollout() const {
+        auto const recorded = this->recorded_rollout();
+        return recorded && recorded->phase == rollout_phase::running ? recorded : std::nullopt;
     }
 
     tracked_rollout& state_for(rollout const& current) {
@@ -203,7 +229,7 @@
             co_return false;
         }
         if (answer->body == condemned_text) {
-            this->handlers.block_version(current.to);
+            this->condemn(rollout_id(current));
         }
         co_return true;
     }
@@ -230,7 +256,7 @@
     // A condemned version gets requests until its gates know the verdict. They are told at once,
     // since their next report and the change of the rows take longer.
     void announce_verdict(rollout const& current) {
-        this->handlers.block_version(current.to);
+        this->condemn(rollout_id(current));
         auto const view = this->views.load();
         auto const found = view->members.find(current.service);
         if (found == view->members.end()) {
@@ -272,7 +298,7 @@
         auto const decided =
             tracked.rollout_judge->assess(to_wall_time(*now), state, tracked.aggregator.totals());
         if (auto const* verdict = std::get_if<take_back>(&decided)) {
-            if (!std::exchange(tracked.is_condemned, true)) {
+            if (!tracked.is_condemned) {
                 this->announce_verdict(current);
             }
             log::write(log::level::warning, "rollout_condemned",
@@ -360,6 +386,8 @@
     std::uint16_t port;
     callbacks handlers;
     std::uint64_t incarnation;
+    /// The version that the gate refuses; empty for none.
+    std::string blocked;
     std::map<std::uint64_t, tracked_rollout> states;
     std::map<std::string, steady_time> unreachable;
 
@@ -379,6 +407,10 @@
     asio::co_spawn(this->self->context, implementation::run(this->self), asio::detached);
 }
 
+void rollout_steering::rows_changed() {
+    this->self->update_blocked_version();
+}
+
 http_response rollout_steering::accept(http_request const& request) {
     return this->self->accept(request);
 }
--- a/libraries/sidecar/rollout_steering.h
+++ b/libraries/sidecar/rollout_steering.h
@@ -26,15 +26,15 @@
 /// writes each step on the condition that the row still has the last revision it has read, so two
 /// nodes that both act as the first member cannot overwrite each other's steps. A verdict against
 /// the version is also sent directly to the gates, which then refuse further requests even while
-/// the store is unavailable. Runs on the control thread.
+/// the store is unavailable, until the recorded roll-out ends. Runs on the control thread.
 class rollout_steering {
 public:
     /// Functions provided by other components of the node.
     struct callbacks {
         /// Returns the counts of the local gate for the roll-out with the given id.
         std::function<boost::asio::awaitable<evidence_by_route>(std::string)> evidence;
-        /// Blocks a version of the node's service at the gate.
-        std::function<void(std::string)> block_version;
+        /// Sets the version of the node's service that the gate refuses; an empty text for none.
+        std::function<void(std::string)> set_blocked_version;
     };
 
     rollout_steering(boost::asio::io_context& context, connection_pool& connections,
@@ -48,6 +48,9 @@
 
     void start();
 
+    /// Called after each change of the rows.
+    void rows_changed();
+
     /// Stores evidence from another node, or a verdict of the node that steers the roll-out. The
     /// response to evidence states whether the version is condemned.
     http_response accept(http_request const& request);
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -267,6 +267,7 @@
     // Runs on the control thread after each change of the replica's rows.
     void apply_rows() {
         this->announcements.rows_changed();
+        this->steering.rows_changed();
         auto const view = this->views.load();
         if (view) {
             this->metrics.configuration_refusals.set(
@@ -308,9 +309,10 @@
     rollout_steering::callbacks make_steering_callbacks() {
         rollout_steering::callbacks handlers;
         handlers.evidence = [this](std::string id) { return this->read_evidence(std::move(id)); };
-        handlers.block_version = [this](std::string version) {
-            asio::post(this->data_context,
-                       [this, version = std::move(version)] { this->gate.block_version(version); });
+        handlers.set_blocked_version = [this](std::string version) {
+            asio::post(this->data_context, [this, version = std::move(version)] {
+                this->gate.set_blocked_version(version);
+            });
         };
         return handlers;
     }
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -141,15 +141,20 @@
                                                     : result_code::request_draining));
     }
 
-    void block_version(std::string version) {
+    void set_blocked_version(std::string version) {
         if (this->blocked_version == version) {
             return;
         }
+        if (version.empty()) {
+            log::write(log::level::info, "version_unblocked", {{"version", this->blocked_version}});
+        }
         this->blocked_version = std::move(version);
         this->set_target(this->target);
-        log::write(
-            log::level::warning, "version_blocked",
-            {{"version", this->blocked_version}, {"applies_to_target", this->is_target_blocked()}});
+        if (!this->blocked_version.empty()) {
+            log::write(log::level::warning, "version_blocked",
+                       {{"version", this->blocked_version},
+                        {"applies_to_target", this->is_target_blocked()}});
+        }
     }
 
     void set_stop_time(boot_time at) {
@@ -168,7 +173,8 @@
 
 private:
     bool is_target_blocked() const {
-        return this->target && this->target->version == this->blocked_version;
+        return this->target && !this->blocked_version.empty() &&
+               this->target->version == this->blocked_version;
     }
 
     std::optional<gate_refusal> check(gate_call const& call) const {
@@ -430,8 +436,8 @@
     this->self->set_target(target);
 }
 
-void target_gate::block_version(std::string version) {
-    this->self->block_version(std::move(version));
+void target_gate::set_blocked_version(std::string version) {
+    this->self->set_blocked_version(std::move(version));
 }
 
 void target_gate::set_stop_time(boot_time at) {
--- a/libraries/sidecar/target_gate.h
+++ b/libraries/sidecar/target_gate.h
@@ -52,8 +52,8 @@
     /// Sets the current local target. Waiting requests are refused when it goes out of service.
     void set_target(std::optional<target_record> const& target);
 
-    /// Blocks a condemned version; its target receives no further requests.
-    void block_version(std::string version);
+    /// Sets the version whose targets receive no requests; an empty text blocks none.
+    void set_blocked_version(std::string version);
 
     /// Sets the time at which the node stops; requests that may not complete by then are refused.
     void set_stop_time(boot_time at);
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -313,6 +313,26 @@
     CHECK(run_until(plan.done_by + seconds(20), call_outcome::failed));
 }
 
+// Guards against a gate that refuses the only version left because its node has condemned it: a
+// completion that took effect late stopped the old targets (kcg-mesh, CONFIG).
+TEST(rollout_plan, recorded_phase_overrules_a_verdict) {
+    current.from = "v1";
+    STRCMP_EQUAL("", blocked_version(current, false).c_str());
+    STRCMP_EQUAL("v2", blocked_version(current, true).c_str());
+    current.phase = rollout_phase::complete;
+    STRCMP_EQUAL("", blocked_version(current, true).c_str());
+    current.phase = rollout_phase::rolled_back;
+    STRCMP_EQUAL("v2", blocked_version(current, false).c_str());
+}
+
+// Guards against a service without any version after an order to the version that is in force.
+TEST(rollout_plan, version_without_alternative_is_never_blocked) {
+    current.from = current.to;
+    STRCMP_EQUAL("", blocked_version(current, true).c_str());
+    current.phase = rollout_phase::rolled_back;
+    STRCMP_EQUAL("", blocked_version(current, true).c_str());
+}
+
 // Guards against old targets that are stopped as soon as the last step starts, even when the
 // duration is over: on zampa-mesh, a version that fails under load was completed 0.1 s after its
 // last step.
--- a/tests/processes/mesh_support/store_standin.cpp
+++ b/tests/processes/mesh_support/store_standin.cpp
@@ -258,6 +258,12 @@
     return found == this->self->rows.end() ? std::string() : found->second.value;
 }
 
+std::uint64_t store_standin::revision(std::string const& table, std::string const& key) const {
+    std::lock_guard const guard(this->self->lock);
+    auto const found = this->self->rows.find({table, key});
+    return found == this->self->rows.end() ? 0 : found->second.revision;
+}
+
 int store_standin::requested_transactions() const {
     return this->self->requested_transactions;
 }
--- a/tests/processes/mesh_support/store_standin.h
+++ b/tests/processes/mesh_support/store_standin.h
@@ -28,6 +28,8 @@
     void put(std::string const& table, std::string const& key, std::string const& value);
     /// Returns the row's value; empty if the row does not exist.
     std::string value(std::string const& table, std::string const& key) const;
+    /// Returns the row's revision; zero if the row does not exist.
+    std::uint64_t revision(std::string const& table, std::string const& key) const;
     /// Number of transactions that nodes have requested, and of rows that these have written.
     int requested_transactions() const;
     int written_rows() const;
--- /dev/null
+++ b/tests/processes/sidecar/rollout_verdict_test.cpp
@@ -0,0 +1,113 @@
+#include "mesh/rollout.h"
+#include "mesh/rollout_plan.h"
+#include "processes/mesh_support/sidecar_fleet.h"
+#include "processes/support/http_caller.h"
+#include "processes/support/wait_until.h"
+#include "sidecar/rollout_json.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <iostream>
+#include <string>
+
+using namespace peridot;
+using namespace peridot::processes;
+
+// A roll-out of the service deposits from v1 to v2, whose verdict some nodes know and whose row in
+// the store says something else.
+TEST_GROUP(rollout_verdict) {
+    sidecar_fleet fleet;
+    http_caller sender;
+    mesh_instance* caller = nullptr;
+    mesh_instance* old_target = nullptr;
+    mesh_instance* new_target = nullptr;
+    int attempts = 0;
+
+    void setup() override {
+        this->fleet.configure(1);
+        this->caller = &this->fleet.add("plants");
+        this->old_target = &this->fleet.add("deposits");
+        CHECK(this->wait_until_served());
+        this->new_target = &this->fleet.add("deposits", {.version = "v2"});
+        CHECK(wait_until([&] { return this->fleet.is_ready(*this->new_target); }));
+    }
+
+    void teardown() override {
+        if (UtestShell::getCurrent()->hasFailed()) {
+            this->fleet.print_logs(std::cout);
+        }
+    }
+
+    bool wait_until_served() {
+        return wait_until([&] {
+            auto const answer = this->fleet.call(*this->caller, "/get/1",
+                                                 "attempt-" + std::to_string(++this->attempts));
+            return answer && answer->status == 200;
+        });
+    }
+
+    void order_rollout(seconds duration) {
+        this->fleet.store().put("op", "rollout/deposits",
+                                R"({"Service":"deposits","To":"v2","DurationS":)" +
+                                    std::to_string(duration.count()) + "}");
+        CHECK(wait_until([&] { return !this->status().empty(); }));
+    }
+
+    std::string status() {
+        return this->fleet.store().value("status", "rollout/deposits");
+    }
+
+    // Returns the roll-out as the nodes have recorded it.
+    rollout recorded() {
+        auto const read = decode_rollout(this->fleet.store().value("peridot", "rollout/deposits"));
+        CHECK(is_ok(read));
+        return value(read);
+    }
+
+    // Tells a node the verdict against the new version, as the steering node does.
+    bool send_verdict(mesh_instance const& receiver) {
+        http_request verdict{"POST", "/verdict", {}, rollout_id(this->recorded())};
+        auto const answer =
+            this->sender.call(sidecar_fleet::control_address(receiver), std::move(verdict));
+        return answer && answer->status == 200;
+    }
+
+    bool is_blocked(mesh_instance const& instance) {
+        auto const answer = this->sender.call(sidecar_fleet::control_address(instance),
+                                              {"GET", "/metrics", {}, {}});
+        return answer && answer->body.find("peridot_gate_version_blocked 1") != std::string::npos;
+    }
+};
+
+// Guards against gates that refuse every request for good after a roll-out whose completion took
+// effect late: its version was condemned meanwhile, and the old targets stopped (kcg-mesh, CONFIG).
+TEST(rollout_verdict, service_is_served_after_its_condemned_version_was_completed) {
+    order_rollout(seconds(60));
+    // No further step is written, so that the completion is the next change of the row.
+    fleet.store().set_unavailable(true);
+    CHECK(send_verdict(*new_target));
+    CHECK(wait_until([&] { return is_blocked(*new_target); }));
+    auto completed = recorded();
+    completed.phase = rollout_phase::complete;
+    completed.share = 1;
+    fleet.store().put("peridot", "rollout/deposits", encode_rollout(completed));
+    fleet.store().set_unavailable(false);
+    CHECK(old_target->target->deregister());
+    CHECK(wait_until_served());
+    CHECK(new_target->target->run_count() > 0);
+}
+
+// Guards against a gate that lets requests of late senders pass to a version that was taken back
+// before the gate's node was restarted.
+TEST(rollout_verdict, restarted_gate_blocks_a_version_that_was_taken_back) {
+    order_rollout(seconds(60));
+    auto taken_back = recorded();
+    taken_back.phase = rollout_phase::rolled_back;
+    taken_back.share = 0;
+    fleet.store().put("peridot", "rollout/deposits", encode_rollout(taken_back));
+    CHECK(wait_until([&] { return is_blocked(*new_target); }));
+    new_target->node->end();
+    fleet.restart(*new_target);
+    CHECK(wait_until([&] { return is_blocked(*new_target); }));
+    CHECK(wait_until_served());
+}
