sidecar: tell the node that steers next of a verdict

What callers would see: a version that was condemned is completed all the same, and the old targets stop.

Cause: a verdict was known to the node that reached it and to the gates it told. If that node stopped steering before it recorded the verdict (killed, cut off from the other members), the next one judged anew. The gates of the condemned version passed nothing on, so it saw no failures, took every step and completed the roll-out.

Now a gate that knows the verdict sends it to the node that steers, in place of its counts, and a node that knows it takes the version back whatever it has counted itself. The verdict is logged once.

--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -211,15 +211,21 @@
             tracked.aggregator.accept(counts);
             co_return;
         }
+        // The node that reached the verdict may have stopped steering before it recorded it.
+        if (tracked.is_condemned) {
+            co_await this->send(steering, verdict_path, counts.move, current);
+            co_return;
+        }
         for (auto& datagram : encode(counts)) {
-            if (!co_await this->send(steering, std::move(datagram), current)) {
+            if (!co_await this->send(steering, evidence_path, std::move(datagram), current)) {
                 co_return;
             }
         }
     }
 
-    asio::awaitable<bool> send(member steering, std::string datagram, rollout current) {
-        auto const outcome = co_await this->post(steering, evidence_path, std::move(datagram));
+    asio::awaitable<bool> send(member steering, std::string_view path, std::string body,
+                               rollout current) {
+        auto const outcome = co_await this->post(steering, path, std::move(body));
         auto const* answer = std::get_if<http_response>(&outcome);
         if (answer == nullptr) {
             this->unreachable[steering.instance] =
@@ -277,17 +283,15 @@
         if (!now) {
             co_return;
         }
-        auto& tracked = this->state_for(current);
-        rollout next = current;
         if (current.started.count() == 0) {
-            next.started = *now;
-            if (next.from.empty()) {
-                next.from = this->version_in_force(current);
-            }
-            next.share = make_rollout_plan(next).ramp.front().share;
-            co_await this->write(next);
+            co_await this->begin(current, *now);
+            co_return;
+        }
+        if (this->is_condemned(current)) {
+            co_await this->take_version_back(current);
             co_return;
         }
+        auto& tracked = this->state_for(current);
         if (!tracked.rollout_judge) {
             tracked.rollout_judge.emplace(make_rollout_plan(current), this->instance, judged_routes,
                                           rollout_judge_settings());
@@ -298,19 +302,16 @@
         auto const decided =
             tracked.rollout_judge->assess(to_wall_time(*now), state, tracked.aggregator.totals());
         if (auto const* verdict = std::get_if<take_back>(&decided)) {
-            if (!tracked.is_condemned) {
-                this->announce_verdict(current);
-            }
             log::write(log::level::warning, "rollout_condemned",
                        {{"service", current.service},
                         {"version", current.to},
                         {"reason", describe(*verdict)}});
-            next.phase = rollout_phase::rolled_back;
-            next.share = 0;
-            co_await this->write(next);
+            this->announce_verdict(current);
+            co_await this->take_version_back(current);
             co_return;
         }
         if (auto const* raise = std::get_if<step_raise>(&decided)) {
+            rollout next = current;
             next.step = raise->step;
             next.share = make_rollout_plan(current).ramp[raise->step].share;
             co_await this->write(next);
@@ -319,6 +320,21 @@
         co_await this->complete_if_due(current, tracked, *now);
     }
 
+    asio::awaitable<void> begin(rollout next, milliseconds now) {
+        next.started = now;
+        if (next.from.empty()) {
+            next.from = this->version_in_force(next);
+        }
+        next.share = make_rollout_plan(next).ramp.front().share;
+        co_await this->write(std::move(next));
+    }
+
+    asio::awaitable<void> take_version_back(rollout next) {
+        next.phase = rollout_phase::rolled_back;
+        next.share = 0;
+        co_await this->write(std::move(next));
+    }
+
     std::string version_in_force(rollout const& current) const {
         auto const view = this->views.load();
         auto const found = view->members.find(current.service);
--- a/libraries/sidecar/rollout_steering.h
+++ b/libraries/sidecar/rollout_steering.h
@@ -26,7 +26,8 @@
 /// writes each step on the condition that the row still has the last revision it has read, so two
 /// nodes that both act as the first member cannot overwrite each other's steps. A verdict against
 /// the version is also sent directly to the gates, which then refuse further requests even while
-/// the store is unavailable, until the recorded roll-out ends. Runs on the control thread.
+/// the store is unavailable, until the recorded roll-out ends. A gate that knows the verdict passes
+/// it on to the node that steers next. Runs on the control thread.
 class rollout_steering {
 public:
     /// Functions provided by other components of the node.
--- a/tests/processes/sidecar/rollout_verdict_test.cpp
+++ b/tests/processes/sidecar/rollout_verdict_test.cpp
@@ -97,6 +97,19 @@
     CHECK(new_target->target->run_count() > 0);
 }
 
+// Guards against a roll-out that is continued, and completed, by a node that does not know that its
+// version was condemned while another node steered it.
+TEST(rollout_verdict, node_that_steers_next_takes_the_condemned_version_back) {
+    order_rollout(seconds(4));
+    CHECK(send_verdict(*new_target));
+    CHECK(wait_until([&] {
+        return status().find("rolled_back") != std::string::npos ||
+               status().find("complete") != std::string::npos;
+    }));
+    STRCMP_CONTAINS("rolled_back", status().c_str());
+    CHECK(wait_until_served());
+}
+
 // Guards against a gate that lets requests of late senders pass to a version that was taken back
 // before the gate's node was restarted.
 TEST(rollout_verdict, restarted_gate_blocks_a_version_that_was_taken_back) {
@@ -111,3 +124,14 @@
     CHECK(wait_until([&] { return is_blocked(*new_target); }));
     CHECK(wait_until_served());
 }
+
+// Guards against a gate that holds a version for condemned after the operator has ordered another
+// roll-out to it.
+TEST(rollout_verdict, next_order_for_a_condemned_version_starts_anew) {
+    order_rollout(seconds(60));
+    CHECK(send_verdict(*new_target));
+    CHECK(wait_until([&] { return is_blocked(*new_target); }));
+    CHECK(wait_until([&] { return status().find("rolled_back") != std::string::npos; }));
+    order_rollout(seconds(50));
+    CHECK(wait_until([&] { return !is_blocked(*new_target); }));
+}
