sidecar: judge a version while its steps wait at the store

Cause: the steering node judged and wrote in one loop. A write whose response is lost takes up to 3.7 s with its second try through another node; nobody judged during that time.

Now steps and the completion are written beside the loop, one at a time. A roll-back does not wait for them: both writes have the same condition, so the store performs only the first one.

Failed before, passes now: rollout_verdict.version_is_judged_while_its _completion_waits_at_the_store (before: verdict after the write was given up, never both writes at the store).

--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -56,6 +56,8 @@
         std::optional<judge> rollout_judge;
         std::optional<milliseconds> last_step_since;
         bool is_condemned = false;
+        /// Whether a step or the completion is being written.
+        bool is_step_pending = false;
         std::uint64_t sequence = 0;
     };
 
@@ -284,7 +286,7 @@
             co_return;
         }
         if (current.started.count() == 0) {
-            co_await this->begin(current, *now);
+            this->begin(current, *now);
             co_return;
         }
         if (this->is_condemned(current)) {
@@ -314,19 +316,41 @@
             rollout next = current;
             next.step = raise->step;
             next.share = make_rollout_plan(current).ramp[raise->step].share;
-            co_await this->write(next);
+            this->start_step(std::move(next));
             co_return;
         }
-        co_await this->complete_if_due(current, tracked, *now);
+        this->complete_if_due(current, tracked, *now);
     }
 
-    asio::awaitable<void> begin(rollout next, milliseconds now) {
+    void begin(rollout next, milliseconds now) {
         next.started = now;
         if (next.from.empty()) {
             next.from = this->version_in_force(next);
         }
         next.share = make_rollout_plan(next).ramp.front().share;
-        co_await this->write(std::move(next));
+        this->start_step(std::move(next));
+    }
+
+    // Writes a step in the background: the store may keep it waiting, and a version that turns bad
+    // meanwhile has to be found. Of a step and a roll-back that wait together, the store performs
+    // only the first one.
+    void start_step(rollout next) {
+        auto& tracked = this->state_for(next);
+        if (tracked.is_step_pending) {
+            return;
+        }
+        tracked.is_step_pending = true;
+        asio::co_spawn(this->context, write_step(this->shared_from_this(), std::move(next)),
+                       asio::detached);
+    }
+
+    static asio::awaitable<void> write_step(std::shared_ptr<implementation> self, rollout next) {
+        auto const order = next.order;
+        co_await self->write(std::move(next));
+        auto const found = self->states.find(order);
+        if (found != self->states.end()) {
+            found->second.is_step_pending = false;
+        }
     }
 
     asio::awaitable<void> take_version_back(rollout next) {
@@ -346,10 +370,9 @@
         return version_shares(found->second, &before).begin()->first;
     }
 
-    asio::awaitable<void> complete_if_due(rollout current, tracked_rollout& tracked,
-                                          milliseconds now) {
+    void complete_if_due(rollout const& current, tracked_rollout& tracked, milliseconds now) {
         if (current.share < 1) {
-            co_return;
+            return;
         }
         if (!tracked.last_step_since) {
             tracked.last_step_since = now;
@@ -358,7 +381,7 @@
             !tracked.rollout_judge->summary().is_holding) {
             rollout next = current;
             next.phase = rollout_phase::complete;
-            co_await this->write(next);
+            this->start_step(std::move(next));
         }
     }
 
--- a/tests/processes/mesh_support/store_standin.cpp
+++ b/tests/processes/mesh_support/store_standin.cpp
@@ -11,6 +11,7 @@
 #include <boost/url/parse.hpp>
 
 #include <atomic>
+#include <list>
 #include <map>
 #include <mutex>
 #include <stdexcept>
@@ -71,6 +72,27 @@
         std::atomic<int>& count;
     };
 
+    // Keeps the body of a transaction in the list of those that wait.
+    class held_transaction {
+    public:
+        held_transaction(implementation& store, std::string const& body) : store(store) {
+            std::lock_guard const guard(this->store.lock);
+            this->position = this->store.held.insert(this->store.held.end(), body);
+        }
+        ~held_transaction() {
+            std::lock_guard const guard(this->store.lock);
+            this->store.held.erase(this->position);
+        }
+        held_transaction(held_transaction const&) = delete;
+        held_transaction& operator=(held_transaction const&) = delete;
+        held_transaction(held_transaction&&) = delete;
+        held_transaction& operator=(held_transaction&&) = delete;
+
+    private:
+        implementation& store;
+        std::list<std::string>::iterator position;
+    };
+
     struct stored_row {
         std::string value;
         std::uint64_t revision = 0;
@@ -136,6 +158,30 @@
         return answer_with({{"SchemaVersion", this->revision}, {"NowS", this->now()}});
     }
 
+    asio::awaitable<void> hold(std::string const& body) {
+        held_transaction const listed(*this, body);
+        asio::steady_timer timer(this->context);
+        while (this->is_holding_writes) {
+            timer.expires_after(feed_poll);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
+    std::vector<std::string> held_values(row_key const& wanted) const {
+        std::lock_guard const guard(this->lock);
+        std::vector<std::string> values;
+        for (auto const& body : this->held) {
+            auto const transaction = json::parse(body);
+            for (auto const& item : transaction.at("SetKeys").as_array()) {
+                if (wanted == row_key(item.at("Table").as_string(), item.at("Key").as_string())) {
+                    values.push_back(
+                        from_base64(std::string(item.at("Value").as_string())).value_or(""));
+                }
+            }
+        }
+        return values;
+    }
+
     asio::awaitable<http_response> respond_at_first(http_request request) {
         auto answer = co_await this->respond(std::move(request));
         asio::steady_timer timer(this->context);
@@ -185,6 +231,7 @@
 
     asio::awaitable<http_response> answer(http_request request) {
         if (request.target == "/rows-tx") {
+            co_await this->hold(request.body);
             co_return this->commit(request.body);
         }
         auto const parsed = boost::urls::parse_origin_form(request.target);
@@ -222,6 +269,9 @@
     std::atomic<bool> is_unavailable{false};
     std::atomic<bool> is_losing_answers{false};
     std::atomic<bool> is_garbling{false};
+    std::atomic<bool> is_holding_writes{false};
+    /// Bodies of the transactions that wait.
+    std::list<std::string> held;
     /// Used by the stand-in's thread only.
     std::size_t garbled_bodies = 0;
     std::atomic<milliseconds> delay{milliseconds(0)};
@@ -288,6 +338,15 @@
     this->self->is_garbling = is_garbling;
 }
 
+void store_standin::set_holding_writes(bool is_holding) {
+    this->self->is_holding_writes = is_holding;
+}
+
+std::vector<std::string> store_standin::held_values(std::string const& table,
+                                                    std::string const& key) const {
+    return this->self->held_values({table, key});
+}
+
 void store_standin::set_losing_answers(bool is_losing) {
     this->self->is_losing_answers = is_losing;
 }
--- a/tests/processes/mesh_support/store_standin.h
+++ b/tests/processes/mesh_support/store_standin.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace peridot::processes {
 
@@ -44,6 +45,11 @@
     void set_delay(milliseconds delay);
     /// While set, the body of each response is unreadable.
     void set_garbling(bool is_garbling);
+    /// While set, transactions wait: they are performed and answered once it is lifted, if the
+    /// caller still waits and their condition still holds.
+    void set_holding_writes(bool is_holding);
+    /// Returns the values that waiting transactions would give to a row.
+    std::vector<std::string> held_values(std::string const& table, std::string const& key) const;
     /// Processes requests but closes the connection instead of responding.
     void set_losing_answers(bool is_losing);
 
--- a/tests/processes/sidecar/rollout_verdict_test.cpp
+++ b/tests/processes/sidecar/rollout_verdict_test.cpp
@@ -7,8 +7,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <atomic>
 #include <iostream>
 #include <string>
+#include <thread>
 
 using namespace peridot;
 using namespace peridot::processes;
@@ -72,6 +75,14 @@
         return answer && answer->status == 200;
     }
 
+    // Whether a transaction that the store has not performed yet would end the roll-out like this.
+    bool is_held(std::string const& state) {
+        auto const values = this->fleet.store().held_values("status", "rollout/deposits");
+        return std::ranges::any_of(values, [&state](std::string const& value) {
+            return value.find(state) != std::string::npos;
+        });
+    }
+
     bool is_blocked(mesh_instance const& instance) {
         auto const answer = this->sender.call(sidecar_fleet::control_address(instance),
                                               {"GET", "/metrics", {}, {}});
@@ -135,3 +146,30 @@
     order_rollout(seconds(50));
     CHECK(wait_until([&] { return !is_blocked(*new_target); }));
 }
+
+// Guards against a version that turns bad while the store keeps its completion waiting, and that
+// nobody judges until that write is given up (kcg-mesh, EXPOSURE beside CONFIG).
+TEST(rollout_verdict, version_is_judged_while_its_completion_waits_at_the_store) {
+    std::atomic<bool> is_stopped{false};
+    std::thread lookups([&] {
+        while (!is_stopped) {
+            fleet.call(*caller, "/get/1", "lookup-" + std::to_string(++attempts));
+        }
+    });
+    order_rollout(seconds(4));
+    bool const has_all_requests = wait_until([&] { return recorded().share == 1; });
+    fleet.store().set_holding_writes(true);
+    bool const is_completing = wait_until([&] { return is_held("complete"); });
+    new_target->target->set_failing(true);
+    bool const is_taken_back_meanwhile =
+        wait_until([&] { return is_held("complete") && is_held("rolled_back"); });
+    bool const is_blocked_meanwhile = is_blocked(*new_target);
+    fleet.store().set_holding_writes(false);
+    is_stopped = true;
+    lookups.join();
+    CHECK(has_all_requests);
+    CHECK(is_completing);
+    CHECK(is_taken_back_meanwhile);
+    CHECK(is_blocked_meanwhile);
+    CHECK(wait_until([&] { return status().find("running") == std::string::npos; }));
+}
