sidecar: ask again for a configuration that a failed query left missing

What callers would see: 404 for a route that was added, from a node that stays behind.

Cause: a node that heard of a newer version marked it as asked for when it sent its only query. If that failed, no later response of a node that holds the version caused another one.

--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -5,6 +5,7 @@
 #include "core/rcu_cell.h"
 #include "http/connection_pool.h"
 #include "http/http_server.h"
+#include "mesh/configuration_query_pacer.h"
 #include "mesh/mesh_configuration.h"
 #include "observability/gauge.h"
 #include "observability/metric_registry.h"
@@ -298,10 +299,12 @@
     }
 
     void request_newer_configuration(std::string const& ip, std::uint64_t version) {
-        if (version <= this->requested_version) {
+        auto const view = this->views.load();
+        auto const held = view && view->configuration ? view->configuration->version() : 0;
+        if (!this->configuration_queries.try_start(held, version,
+                                                   std::chrono::steady_clock::now())) {
             return;
         }
-        this->requested_version = version;
         asio::post(this->control_context,
                    [this, ip, version] { this->fleet.request_configuration(ip, version); });
     }
@@ -403,7 +406,7 @@
     caller_limits limits;
     boot_time started;
     std::string last_sender;
-    std::uint64_t requested_version = 0;
+    configuration_query_pacer configuration_queries;
     bool has_target = false;
     bool is_stopping = false;
     bool refuses_requests = false;
