sidecar: move the messages of roll-outs out of rollout_steering

The messages between the nodes of a service, the choice of the member that steers and the marks of unreachable members are now rollout_channel. The messages are as before.

Beside it, condemned_version_completed is logged where a completion takes effect after the verdict, since only the operator can act on that.

--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -1,7 +1,6 @@
 #include "sidecar/rollout_steering.h"
 
 #include "core/log.h"
-#include "http/connection_pool.h"
 #include "mesh/rollout_plan.h"
 #include "mesh/row_replica.h"
 #include "mesh/version_share.h"
@@ -10,6 +9,7 @@
 #include "moves/judge.h"
 #include "platform/decoders.h"
 #include "sidecar/fleet_sync.h"
+#include "sidecar/rollout_channel.h"
 #include "sidecar/rollout_json.h"
 #include "sidecar/view_builder.h"
 
@@ -35,15 +35,8 @@
 constexpr milliseconds short_period{80};
 constexpr double large_share = 0.2;
 constexpr milliseconds idle_period{500};
-constexpr milliseconds evidence_timeout{400};
-constexpr milliseconds evidence_connect_timeout{200};
-// A member that failed to accept evidence is skipped for this long.
-constexpr milliseconds unreachable_period{2000};
 // The judge divides its false-alarm rate by this number of routes of a service.
 constexpr std::size_t judged_routes = 8;
-constexpr std::string_view condemned_text = "condemned";
-constexpr std::string_view evidence_path = "/evidence";
-constexpr std::string_view verdict_path = "/verdict";
 
 } // namespace
 
@@ -65,12 +58,11 @@
                    rcu_cell<fleet_view> const& fleet_views, std::string own_instance,
                    std::string own_service, std::uint16_t control_port, callbacks given_handlers)
         : context(io)
-        , connections(pool)
+        , channel(pool, control_port)
         , fleet(sync)
         , views(fleet_views)
         , instance(std::move(own_instance))
         , service(std::move(own_service))
-        , port(control_port)
         , handlers(std::move(given_handlers))
         , incarnation(static_cast<std::uint64_t>(
               std::chrono::system_clock::now().time_since_epoch().count())) {}
@@ -84,8 +76,10 @@
     }
 
     http_response accept(http_request const& request) {
-        return request.target == verdict_path ? this->accept_verdict(request)
-                                              : this->accept_evidence(request);
+        bool const is_verdict =
+            rollout_channel::message_kind(request) == rollout_channel::message::verdict;
+        return rollout_channel::write_response(is_verdict ? this->accept_verdict(request.body)
+                                                          : this->accept_evidence(request.body));
     }
 
     // Passes the version that the gate has to refuse to the gate if it has changed.
@@ -98,32 +92,32 @@
         }
         this->blocked = blocked;
         this->handlers.set_blocked_version(std::move(blocked));
+        if (recorded && recorded->phase == rollout_phase::complete &&
+            this->is_condemned(*recorded)) {
+            log::write(log::level::error, "condemned_version_completed",
+                       {{"service", recorded->service}, {"version", recorded->to}});
+        }
     }
 
 private:
-    http_response accept_evidence(http_request const& request) {
-        http_response answer;
-        auto const report = decode_evidence_report(request.body);
+    rollout_channel::delivery accept_evidence(std::string const& body) {
+        auto const report = decode_evidence_report(body);
         if (!is_ok(report)) {
-            answer.status = 400;
-            return answer;
+            return rollout_channel::delivery::failed;
         }
         auto const current = this->running_rollout();
         if (!current || rollout_id(*current) != value(report).move) {
-            return answer;
+            return rollout_channel::delivery::accepted;
         }
         auto& tracked = this->state_for(*current);
         tracked.aggregator.accept(value(report));
-        if (tracked.is_condemned) {
-            answer.body = condemned_text;
-        }
-        return answer;
+        return tracked.is_condemned ? rollout_channel::delivery::condemned
+                                    : rollout_channel::delivery::accepted;
     }
 
-    // The body is the id of a roll-out whose version was condemned by the node that steers it.
-    http_response accept_verdict(http_request const& request) {
-        this->condemn(request.body);
-        return {};
+    rollout_channel::delivery accept_verdict(std::string const& id) {
+        this->condemn(id);
+        return rollout_channel::delivery::accepted;
     }
 
     // Records a verdict against the version of a roll-out of this node's service.
@@ -183,22 +177,11 @@
         co_return next;
     }
 
-    // Returns the first member of the service that is not recorded as unreachable.
     std::optional<member> steering_member() const {
         auto const view = this->views.load();
         auto const found = view->members.find(this->service);
-        if (found == view->members.end()) {
-            return std::nullopt;
-        }
-        auto const now = std::chrono::steady_clock::now();
-        for (auto const& candidate : found->second) {
-            auto const excluded = this->unreachable.find(candidate.instance);
-            bool const is_excluded = excluded != this->unreachable.end() && excluded->second > now;
-            if (candidate.target.state != target_state::gone && !is_excluded) {
-                return candidate;
-            }
-        }
-        return std::nullopt;
+        return found == view->members.end() ? std::nullopt
+                                            : this->channel.steering_member(found->second);
     }
 
     asio::awaitable<void> report(rollout current, member steering) {
@@ -215,50 +198,25 @@
         }
         // The node that reached the verdict may have stopped steering before it recorded it.
         if (tracked.is_condemned) {
-            co_await this->send(steering, verdict_path, counts.move, current);
+            co_await this->channel.send_to_steering(steering, rollout_channel::message::verdict,
+                                                    counts.move);
             co_return;
         }
         for (auto& datagram : encode(counts)) {
-            if (!co_await this->send(steering, evidence_path, std::move(datagram), current)) {
+            auto const result = co_await this->channel.send_to_steering(
+                steering, rollout_channel::message::evidence, std::move(datagram));
+            if (result == rollout_channel::delivery::failed) {
                 co_return;
             }
+            if (result == rollout_channel::delivery::condemned) {
+                this->condemn(counts.move);
+            }
         }
     }
 
-    asio::awaitable<bool> send(member steering, std::string_view path, std::string body,
-                               rollout current) {
-        auto const outcome = co_await this->post(steering, path, std::move(body));
-        auto const* answer = std::get_if<http_response>(&outcome);
-        if (answer == nullptr) {
-            this->unreachable[steering.instance] =
-                std::chrono::steady_clock::now() + unreachable_period;
-            log::write(log::level::info, "rollout_steering_unreachable",
-                       {{"instance", steering.instance}});
-            co_return false;
-        }
-        if (answer->body == condemned_text) {
-            this->condemn(rollout_id(current));
-        }
-        co_return true;
-    }
-
-    asio::awaitable<connection_pool::exchange_result> post(member receiver, std::string_view path,
-                                                           std::string body) {
-        http_request request;
-        request.method = "POST";
-        request.target = path;
-        request.body = std::move(body);
-        exchange_options options;
-        options.connect_timeout = evidence_connect_timeout;
-        socket_address const address{receiver.ip, this->port};
-        co_return co_await this->connections.exchange(
-            address, std::move(request), std::chrono::steady_clock::now() + evidence_timeout,
-            options);
-    }
-
-    static asio::awaitable<void> send_verdict(std::shared_ptr<implementation> self, member receiver,
-                                              std::string id) {
-        co_await self->post(std::move(receiver), verdict_path, std::move(id));
+    static asio::awaitable<void> announce_verdict_to(std::shared_ptr<implementation> self,
+                                                     member receiver, std::string id) {
+        co_await self->channel.announce_verdict(std::move(receiver), std::move(id));
     }
 
     // A condemned version gets requests until its gates know the verdict. They are told at once,
@@ -274,7 +232,7 @@
             if (receiver.target.version == current.to && receiver.instance != this->instance) {
                 asio::co_spawn(
                     this->context,
-                    send_verdict(this->shared_from_this(), receiver, rollout_id(current)),
+                    announce_verdict_to(this->shared_from_this(), receiver, rollout_id(current)),
                     asio::detached);
             }
         }
@@ -417,18 +375,16 @@
     }
 
     asio::io_context& context;
-    connection_pool& connections;
+    rollout_channel channel;
     fleet_sync& fleet;
     rcu_cell<fleet_view> const& views;
     std::string instance;
     std::string service;
-    std::uint16_t port;
     callbacks handlers;
     std::uint64_t incarnation;
     /// The version that the gate refuses; empty for none.
     std::string blocked;
     std::map<std::uint64_t, tracked_rollout> states;
-    std::map<std::string, steady_time> unreachable;
 
     friend class rollout_steering;
 };
