--- a/libraries/mesh/target_record.h
+++ b/libraries/mesh/target_record.h
@@ -8,6 +8,9 @@
 
 namespace peridot {
 
+/// A record that claims more slots is malformed.
+inline constexpr unsigned max_target_slots = 100'000;
+
 /// State of a node's target, from the newest of its announcements.
 struct target_record {
     /// Id that the target announces; a restarted target may keep it.
@@ -29,4 +32,9 @@
     bool operator==(target_record const&) const = default;
 };
 
+/// Whether both records come from the same start of a target, which may keep its id when restarted.
+inline bool is_same_process(target_record const& first, target_record const& second) {
+    return first.id == second.id && first.started_ms == second.started_ms;
+}
+
 } // namespace peridot
--- a/libraries/mesh/target_tracker.cpp
+++ b/libraries/mesh/target_tracker.cpp
@@ -10,9 +10,8 @@
 
 // Whether the difference affects the routing of other nodes.
 bool differs(target_record const& first, target_record const& second) {
-    return first.id != second.id || first.started_ms != second.started_ms ||
-           first.state != second.state || first.version != second.version ||
-           first.slots != second.slots;
+    return !is_same_process(first, second) || first.state != second.state ||
+           first.version != second.version || first.slots != second.slots;
 }
 
 } // namespace
@@ -43,13 +42,12 @@
         return target_change::ignored;
     }
     target_record next = announced;
-    bool const is_same_process = this->latest && this->latest->id == announced.id &&
-                                 this->latest->started_ms == announced.started_ms;
-    if (is_same_process && this->latest->state != target_state::ready &&
+    bool const is_known = this->latest && is_same_process(*this->latest, announced);
+    if (is_known && this->latest->state != target_state::ready &&
         next.state == target_state::ready) {
         next.state = this->latest->state;
     }
-    if ((is_same_process && this->latest->state == target_state::gone) ||
+    if ((is_known && this->latest->state == target_state::gone) ||
         this->is_deregistered(announced)) {
         next.state = target_state::gone;
     }
@@ -76,9 +74,7 @@
 }
 
 target_change target_tracker::drain(target_record const& target) {
-    bool const is_current = this->latest && this->latest->id == target.id &&
-                            this->latest->started_ms == target.started_ms;
-    if (!is_current) {
+    if (!this->latest || !is_same_process(*this->latest, target)) {
         return target_change::ignored;
     }
     if (this->latest->state != target_state::ready) {
--- a/libraries/sidecar/member_json.cpp
+++ b/libraries/sidecar/member_json.cpp
@@ -11,8 +11,6 @@
 
 namespace json = boost::json;
 
-constexpr std::uint64_t max_slots = 100'000;
-
 target_state state_of(std::string_view text) {
     if (text == "ready") {
         return target_state::ready;
@@ -39,7 +37,7 @@
     target.service = string_field(fields, "service");
     target.version = string_field(fields, "version");
     auto const slots = unsigned_field(fields, "slots");
-    target.slots = slots > max_slots ? 0 : static_cast<unsigned>(slots);
+    target.slots = slots > max_target_slots ? 0 : static_cast<unsigned>(slots);
     target.state = state_of(string_field(fields, "state"));
     target.started_ms = static_cast<std::int64_t>(unsigned_field(fields, "started_ms"));
     if (target.id.empty() || target.slots == 0) {
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -122,8 +122,7 @@
     }
 
     void set_target(std::optional<target_record> const& next) {
-        if (!next || !this->target || next->id != this->target->id ||
-            next->started_ms != this->target->started_ms) {
+        if (!next || !this->target || !is_same_process(*next, *this->target)) {
             this->failures = {};
             this->has_notice = false;
             this->notice = {};
