--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 DEADLINE_S = 2.0
 THINK_S = 0.1            # a client's pause; it honours a longer Retry-After
 KEPT_CONNECTIONS = 20
-PLAY_S = 30
+PLAY_S = 60
 
 
 async def lookups(case, node):
