--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -567,13 +567,16 @@
                 is_broken = await play(case)
             case.say("the rule was BROKEN" if is_broken else "the rule held")
             return 1 if is_broken else 0
-        except (CannotRun, TimeoutError, OSError) as reason:
+        except (Exception, asyncio.CancelledError) as reason:
             case.say(f"the case could not run: {reason!r}")
             return 2
         finally:
             case.close()
     loop = asyncio.new_event_loop()
-    result = loop.run_until_complete(run())
+    played = loop.create_task(run())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, played.cancel)
+    result = loop.run_until_complete(played)
     sys.stdout.flush()
     # Without the clean-up of open connections at the interpreter's end.
     os._exit(result)
