http: keep an exchange until its handler's last step has run

Callers saw the process of a node end by itself (SIGSEGV), again after each restart, while clients that send requests ahead left; requests of other clients on kept connections ended without an answer (LOST).

Cause: co_spawn appends a step to a coroutine that has not waited, and that step clears the cancellation slot. The signal belongs to the exchange, which only run_handler and the connection kept. A request that was read from the buffer of a connection that had just been closed was started and answered on the spot; both owners were gone before the last step ran.

The completion handler, which runs after the last step, now keeps the exchange, and a cancellation keeps it until it is emitted. Connections share the server's list, and a closed connection starts no further request.

--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -95,7 +95,7 @@
     void close_after_next_response() { this->is_stopping = true; }
 
     void close_idle_connections() {
-        for (auto* candidate : this->connections.open) {
+        for (auto* candidate : this->connections->open) {
             if (candidate->is_idle()) {
                 candidate->close();
             }
@@ -105,18 +105,18 @@
     void cancel_handlers() {
         // Completion of a handler may close its connection and remove it from the set.
         std::vector<std::shared_ptr<detail::pending_exchange>> running;
-        for (auto const* candidate : this->connections.open) {
+        for (auto const* candidate : this->connections->open) {
             std::ranges::copy_if(candidate->pending, std::back_inserter(running),
                                  [](auto const& exchange) { return !exchange->is_done; });
         }
         for (auto const& exchange : running) {
-            exchange->cancel.emit(asio::cancellation_type::terminal);
+            detail::cancel_handler(this->context.get_executor(), exchange);
         }
     }
 
     void set_limits(http_limits const& bounds) { this->limits = bounds; }
 
-    std::size_t requests_in_flight() const { return this->connections.requests_in_flight; }
+    std::size_t requests_in_flight() const { return this->connections->requests_in_flight; }
 
 private:
     using connection_pointer = std::shared_ptr<detail::server_connection>;
@@ -131,7 +131,7 @@
                 co_await pause.async_wait(to_tuple);
                 continue;
             }
-            if (self->connections.open.size() >= self->limits.connections) {
+            if (self->connections->open.size() >= self->limits.connections) {
                 continue;
             }
             socket.set_option(tcp::no_delay(true), failed);
@@ -151,8 +151,8 @@
             auto const now = std::chrono::steady_clock::now();
             // In order of last use, so that when a client observes a close, all connections that
             // have been idle for longer are closed too.
-            std::vector<detail::server_connection*> by_last_use(self->connections.open.begin(),
-                                                                self->connections.open.end());
+            std::vector<detail::server_connection*> by_last_use(self->connections->open.begin(),
+                                                                self->connections->open.end());
             std::ranges::sort(by_last_use, {}, &detail::server_connection::last_used);
             for (auto* candidate : by_last_use) {
                 if (candidate->is_idle() &&
@@ -213,7 +213,8 @@
             co_return false;
         }
         stream.expires_never();
-        if (client->has_stopped_reading || client->has_disconnected()) {
+        // A closed connection can still hold unread requests, whose responses have no receiver.
+        if (client->is_closed || client->has_stopped_reading || client->has_disconnected()) {
             co_return false;
         }
         this->start_handler(client, parser.release());
@@ -243,9 +244,12 @@
                              detail::from_beast(message), std::move(message.body()),
                              std::string(message[http::field::host])};
         client->push(exchange);
+        // The coroutine clears its cancellation slot in a last step of its own, after run_handler
+        // has returned. The completion handler runs after that step and keeps the slot's owner.
+        auto const keep_exchange = [exchange](std::exception_ptr const&) {};
         asio::co_spawn(this->context,
                        run_handler(this->shared_from_this(), client, exchange, std::move(request)),
-                       asio::bind_cancellation_slot(exchange->cancel.slot(), asio::detached));
+                       asio::bind_cancellation_slot(exchange->cancel.slot(), keep_exchange));
     }
 
     // If the handler fails, the exchange has no response and its connection is closed.
@@ -325,7 +329,9 @@
     tcp::acceptor acceptor;
     handler respond;
     http_limits limits;
-    detail::server_connections connections;
+    /// Shared with the connections, which may outlive this object.
+    std::shared_ptr<detail::server_connections> connections =
+        std::make_shared<detail::server_connections>();
     bool is_stopping = false;
 };
 
--- a/libraries/http/pending_exchange.h
+++ b/libraries/http/pending_exchange.h
@@ -3,8 +3,10 @@
 #include "http/http_response.h"
 #include "http/http_version.h"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 
+#include <memory>
 #include <optional>
 
 namespace peridot::detail {
@@ -19,4 +21,9 @@
     boost::asio::cancellation_signal cancel;
 };
 
+/// Cancels the handler of a request on the executor that runs it. Outside of that executor's thread
+/// the cancellation is posted, and the exchange is kept until then.
+void cancel_handler(boost::asio::any_io_executor const& executor,
+                    std::shared_ptr<pending_exchange> const& exchange);
+
 } // namespace peridot::detail
--- a/libraries/http/server_connection.cpp
+++ b/libraries/http/server_connection.cpp
@@ -16,26 +16,26 @@
 
 } // namespace
 
-server_connection::server_connection(server_connections& all, tcp::socket socket)
+server_connection::server_connection(std::shared_ptr<server_connections> all, tcp::socket socket)
     : stream(std::move(socket))
     , state_changed(this->stream.get_executor(), steady_time::max())
-    , all(all) {
-    this->all.open.insert(this);
+    , all(std::move(all)) {
+    this->all->open.insert(this);
 }
 
 server_connection::~server_connection() {
-    this->all.open.erase(this);
-    this->all.requests_in_flight -= this->pending.size();
+    this->all->open.erase(this);
+    this->all->requests_in_flight -= this->pending.size();
 }
 
 void server_connection::push(std::shared_ptr<pending_exchange> exchange) {
     this->pending.push_back(std::move(exchange));
-    ++this->all.requests_in_flight;
+    ++this->all->requests_in_flight;
 }
 
 void server_connection::pop() {
     this->pending.pop_front();
-    --this->all.requests_in_flight;
+    --this->all->requests_in_flight;
     this->last_used = std::chrono::steady_clock::now();
     this->notify();
 }
@@ -49,7 +49,7 @@
 
 void server_connection::cancel_handlers() {
     for (auto const& exchange : this->pending) {
-        exchange->cancel.emit(asio::cancellation_type::terminal);
+        cancel_handler(this->stream.get_executor(), exchange);
     }
 }
 
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -19,7 +19,7 @@
 /// It is counted among the server's connections for the lifetime of the object.
 class server_connection {
 public:
-    server_connection(server_connections& all, boost::asio::ip::tcp::socket socket);
+    server_connection(std::shared_ptr<server_connections> all, boost::asio::ip::tcp::socket socket);
     ~server_connection();
     server_connection(server_connection const&) = delete;
     server_connection& operator=(server_connection const&) = delete;
@@ -50,7 +50,7 @@
 private:
     void cancel_body();
 
-    server_connections& all;
+    std::shared_ptr<server_connections> all;
 };
 
 } // namespace peridot::detail
--- a/tests/http/raw_client.cpp
+++ b/tests/http/raw_client.cpp
@@ -65,6 +65,12 @@
     return bytes;
 }
 
+void raw_connection::reset() {
+    boost::system::error_code ignored;
+    this->self->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->self->socket.close(ignored);
+}
+
 std::string send_and_read(socket_address const& address, std::string const& bytes) {
     raw_connection connection(address);
     connection.send(bytes);
--- a/tests/http/raw_client.h
+++ b/tests/http/raw_client.h
@@ -31,6 +31,8 @@
     std::string read_some();
     /// Reads until the server closes the connection.
     std::string read_all();
+    /// Closes the connection with a reset, so that the server's writes fail.
+    void reset();
 
 private:
     class implementation;
