sidecar: await a recorded target after a restart of its node

Cause: the node acknowledges after 600 ms although the store has not taken the record. The next process of the node reads the older record, takes the target for ready and passes requests on to it.

Only the node beside a target can pass requests on to it. It now uses a recorded ready target only after the target has announced itself to the new process, which a target that has left does not do. Nothing has to survive the process, the store's outage or the other nodes. Weighed against it: late acknowledgements exceed their 4 s in an outage, and copies at other nodes are lost if all processes are killed.

--- a/libraries/mesh/target_tracker.cpp
+++ b/libraries/mesh/target_tracker.cpp
@@ -20,13 +20,14 @@
     : address(std::move(address)), service(std::move(service)) {}
 
 bool target_tracker::is_older(target_record const& announced) const {
-    if (!this->latest) {
+    auto const& known = this->latest ? this->latest : this->unconfirmed;
+    if (!known) {
         return false;
     }
-    if (announced.started_ms != this->latest->started_ms) {
-        return announced.started_ms < this->latest->started_ms;
+    if (announced.started_ms != known->started_ms) {
+        return announced.started_ms < known->started_ms;
     }
-    return announced.id == this->latest->id && announced.sequence < this->latest->sequence;
+    return announced.id == known->id && announced.sequence < known->sequence;
 }
 
 bool target_tracker::is_deregistered(target_record const& announced) const {
@@ -51,6 +52,7 @@
         this->is_deregistered(announced)) {
         next.state = target_state::gone;
     }
+    this->unconfirmed.reset();
     bool const is_changed = !this->latest || differs(*this->latest, next);
     this->latest = std::move(next);
     return is_changed ? target_change::updated : target_change::none;
@@ -62,6 +64,10 @@
     if (this->deregistrations.size() > max_deregistrations) {
         this->deregistrations.pop_front();
     }
+    if (this->unconfirmed && this->is_deregistered(*this->unconfirmed)) {
+        this->latest = std::move(this->unconfirmed);
+        this->unconfirmed.reset();
+    }
     if (!this->latest || this->latest->id != id ||
         (started_ms && *started_ms != this->latest->started_ms)) {
         return target_change::ignored;
@@ -88,11 +94,17 @@
     if (this->latest || recorded.service != this->service) {
         return target_change::ignored;
     }
-    this->latest = recorded;
-    this->latest->address = this->address;
+    target_record restored = recorded;
+    restored.address = this->address;
     if (this->is_deregistered(recorded)) {
-        this->latest->state = target_state::gone;
+        restored.state = target_state::gone;
+    }
+    if (restored.state == target_state::ready) {
+        this->unconfirmed = std::move(restored);
+        return target_change::none;
     }
+    this->latest = std::move(restored);
+    this->unconfirmed.reset();
     return target_change::updated;
 }
 
--- a/libraries/mesh/target_tracker.h
+++ b/libraries/mesh/target_tracker.h
@@ -40,9 +40,13 @@
     target_change drain(target_record const& target);
 
     /// Restores the record written by an earlier process of the node, unless a newer one is known.
+    /// A target that is recorded as ready is only awaited until it announces itself: the earlier
+    /// process may have acknowledged that it leaves, without being able to record it.
     target_change restore(target_record const& recorded);
 
     std::optional<target_record> const& current() const { return this->latest; }
+    /// The recorded target that has not announced itself to this process.
+    std::optional<target_record> const& awaited() const { return this->unconfirmed; }
 
 private:
     /// A deregistration as the target sent it.
@@ -57,6 +61,7 @@
     std::string address;
     std::string service;
     std::optional<target_record> latest;
+    std::optional<target_record> unconfirmed;
     std::deque<deregistration> deregistrations;
 };
 
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -37,6 +37,9 @@
     , gate_version_blocked(registry.register_gauge(
           "peridot_gate_version_blocked",
           "Whether the gate refuses every request because the target's version is condemned."))
+    , target_awaited(registry.register_gauge(
+          "peridot_target_awaited",
+          "Whether a recorded target has not announced itself since the node's start."))
     , configuration_version(registry.register_gauge("peridot_configuration_version",
                                                     "Version of the configuration in force."))
     , configuration_refusals(
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -22,6 +22,7 @@
     gauge& gate_in_use;
     gauge& gate_waiting;
     gauge& gate_version_blocked;
+    gauge& target_awaited;
     gauge& configuration_version;
     gauge& configuration_refusals;
     gauge& configuration_unknown_values;
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -226,8 +226,9 @@
     bool is_ready() const {
         auto const view = this->views.load();
         bool const has_configuration = view && view->configuration;
-        bool const is_complete =
-            this->has_target || boot_clock::now() - this->started > target_wait_time;
+        // A restarted node knows the other targets of the fleet while it waits for its own one.
+        bool const is_complete = this->has_target || this->announcements.awaits_target() ||
+                                 boot_clock::now() - this->started > target_wait_time;
         return has_configuration && is_complete && !this->is_stopping;
     }
 
@@ -263,11 +264,13 @@
         };
         co_await asio::co_spawn(this->data_context, apply(this, std::move(target)),
                                 asio::use_awaitable);
+        this->metrics.target_awaited.set(this->announcements.awaits_target() ? 1 : 0);
     }
 
     // Runs on the control thread after each change of the replica's rows.
     void apply_rows() {
         this->announcements.rows_changed();
+        this->metrics.target_awaited.set(this->announcements.awaits_target() ? 1 : 0);
         this->steering.rows_changed();
         auto const view = this->views.load();
         if (view) {
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -97,14 +97,19 @@
         if (!is_ok(recorded) || value(recorded).ip != this->settings.ip) {
             return;
         }
-        if (this->tracker.restore(value(recorded).target) == target_change::updated) {
-            this->recorded_text = encode_member(value(recorded));
+        this->recorded_text = encode_member(value(recorded));
+        bool const is_restored =
+            this->tracker.restore(value(recorded).target) == target_change::updated;
+        this->observe_awaited_target();
+        if (is_restored) {
             asio::co_spawn(this->context, restore(this->shared_from_this()), asio::detached);
         }
     }
 
     bool is_recorded() const { return !this->is_recording; }
 
+    bool awaits_target() const { return this->is_awaiting_target; }
+
     asio::io_context& context;
 
 private:
@@ -116,6 +121,16 @@
         self->start_recording();
     }
 
+    // The other threads see whether the target is awaited.
+    void observe_awaited_target() {
+        bool const is_awaited = this->tracker.awaited().has_value();
+        if (this->is_awaiting_target.exchange(is_awaited) == is_awaited) {
+            return;
+        }
+        log::write(log::level::info, is_awaited ? "target_awaited" : "target_confirmed",
+                   {{"service", this->settings.service}});
+    }
+
     // Returns no value if the message is malformed.
     std::optional<target_change> process_call(target_call const& call, std::string const& body) {
         if (call.kind == target_call::purpose::deregister) {
@@ -132,6 +147,7 @@
 
     asio::awaitable<void> apply_current() {
         auto const& current = *this->tracker.current();
+        this->observe_awaited_target();
         log::write(log::level::info, "target_changed",
                    {{"target", current.id},
                     {"version", current.version},
@@ -226,6 +242,8 @@
     std::string recorded_text;
     asio::steady_timer retry;
     std::atomic<bool> is_recording{false};
+    /// Whether a record of the target exists that the target has not confirmed to this process.
+    std::atomic<bool> is_awaiting_target{false};
 };
 
 target_announcements::target_announcements(asio::io_context& context,
@@ -248,6 +266,10 @@
     this->self->rows_changed();
 }
 
+bool target_announcements::awaits_target() const {
+    return this->self->awaits_target();
+}
+
 bool target_announcements::is_recorded() const {
     return this->self->is_recorded();
 }
--- a/libraries/sidecar/target_announcements.h
+++ b/libraries/sidecar/target_announcements.h
@@ -21,8 +21,9 @@
 /// Receives the target's announcements, applies them to the gate and records them in the store.
 ///
 /// Once a deregistration is acknowledged, it is in force on this node. It is also written to the
-/// store before the acknowledgement if the store responds in time, so that it survives a restart of
-/// the node.
+/// store before the acknowledgement if the store responds in time. If it does not, the next process
+/// of the node finds an older record. It therefore uses a recorded target only after the target has
+/// announced itself again, which a target that has left does not do.
 class target_announcements {
 public:
     /// Applies a record to the gate; the awaitable completes once it is in force.
@@ -46,6 +47,10 @@
     /// Checks the replica's rows for a record written by an earlier process of this node.
     void rows_changed();
 
+    /// Whether a record of a ready target was read that the target has not confirmed since the
+    /// start of this process. Thread-safe.
+    bool awaits_target() const;
+
     /// Whether the store holds the target's last announcement. Thread-safe.
     bool is_recorded() const;
 
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -139,6 +139,30 @@
     CHECK(tracker.current()->state == target_state::ready);
 }
 
+// Guards against a restarted node that takes the record of its target for the target's last word: a
+// leaving that was acknowledged while the store took no writes is in no record (kcg-mesh, DRAIN).
+TEST(target_tracker, recorded_ready_target_is_awaited_until_it_announces_itself) {
+    CHECK(tracker.restore(heartbeat("i-1", 100, 0)) == target_change::none);
+    CHECK_FALSE(tracker.current().has_value());
+    STRCMP_EQUAL("i-1", tracker.awaited()->id.c_str());
+    CHECK(tracker.announce(heartbeat("i-0", 50, 90)) == target_change::ignored);
+    CHECK_FALSE(tracker.current().has_value());
+    CHECK(tracker.announce(heartbeat("i-1", 100, 7)) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::ready);
+    CHECK_FALSE(tracker.awaited().has_value());
+}
+
+// Guards against a leaving that a restarted node acknowledges and does not record, because it only
+// awaits the target.
+TEST(target_tracker, awaited_target_that_deregisters_is_gone) {
+    tracker.restore(heartbeat("i-1", 100, 0));
+    CHECK(tracker.deregister("i-2", std::nullopt) == target_change::ignored);
+    CHECK(tracker.deregister("i-1", 100) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::gone);
+    CHECK(tracker.announce(heartbeat("i-1", 100, 8)) == target_change::none);
+    CHECK(tracker.current()->state == target_state::gone);
+}
+
 TEST_GROUP(row_replica) {
     row_replica replica;
 };
