sidecar: give up a roll-out that this node cannot judge

Cause: steering needs the store's clock, which a node knew only from the store's own answers. A node that gets all rows from others never calls the store. It accepted the others' evidence, so nobody else steered.

Answers to row queries now carry the clock, so whoever gets rows gets it. A member without the clock skips itself and refuses evidence, so that the next member steers; evidence and verdicts about a roll-out that the node does not know are refused as well instead of dropped. A log line and a metric show a duty that is held and not done.

--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -81,11 +81,11 @@
         , port(settings.control_port)
         , sources(settings.instance, settings.availability_zone)
         , role_changed(io, steady_time::max())
-        , query_handler(
-              io, replica,
-              [this] {
-                  return row_query_handler::copy_state{this->covered(), this->is_current()};
-              })
+        , query_handler(io, replica,
+                        [this] {
+                            return row_query_handler::copy_state{
+                                this->covered(), this->is_current(), this->store_time()};
+                        })
         , writer(io, pool, client, settings.control_port)
         , search(settings.ip, settings.availability_zone) {
         this->add_feed(std::string(store_keys::operator_table), configuration_wait);
@@ -312,6 +312,10 @@
         if (!answer) {
             co_return;
         }
+        // A node that the store turned away since its start learns the clock from others.
+        if (answer->store_time) {
+            this->observe_store_time(*answer->store_time);
+        }
         for (auto const& [table, revision] : answer->covered) {
             auto const feed = this->feeds.find(table);
             if (feed != this->feeds.end()) {
--- a/libraries/sidecar/fleet_sync.h
+++ b/libraries/sidecar/fleet_sync.h
@@ -59,7 +59,8 @@
     /// Whether the members have been read, or the store is unavailable.
     bool is_initial_read_over() const;
 
-    /// The store's clock, or no value before the store's first response.
+    /// The store's clock, or no value before the first response of the store, or of a node that
+    /// knows it.
     std::optional<milliseconds> store_time() const;
 
     /// Responds to another node's row query as soon as newer rows than it holds are available or
--- a/libraries/sidecar/rollout_channel.cpp
+++ b/libraries/sidecar/rollout_channel.cpp
@@ -16,8 +16,8 @@
 
 constexpr milliseconds response_timeout{400};
 constexpr milliseconds connect_timeout{200};
-// A member that failed to accept a message is skipped for this long.
-constexpr milliseconds unreachable_period{2000};
+// A member that cannot steer or has failed to accept a message is skipped for this long.
+constexpr milliseconds skip_period{2000};
 constexpr unsigned status_malformed = 400;
 constexpr std::string_view condemned_text = "condemned";
 constexpr std::string_view evidence_path = "/evidence";
@@ -50,7 +50,7 @@
 
     connection_pool& connections;
     std::uint16_t port;
-    std::map<std::string, steady_time> unreachable_until;
+    std::map<std::string, steady_time> skipped_until;
 };
 
 rollout_channel::rollout_channel(connection_pool& connections, std::uint16_t control_port)
@@ -61,9 +61,9 @@
 std::optional<member> rollout_channel::steering_member(std::vector<member> const& members) const {
     auto const now = std::chrono::steady_clock::now();
     for (auto const& candidate : members) {
-        auto const excluded = this->self->unreachable_until.find(candidate.instance);
+        auto const excluded = this->self->skipped_until.find(candidate.instance);
         bool const is_excluded =
-            excluded != this->self->unreachable_until.end() && excluded->second > now;
+            excluded != this->self->skipped_until.end() && excluded->second > now;
         if (candidate.target.state != target_state::gone && !is_excluded) {
             return candidate;
         }
@@ -89,14 +89,17 @@
 rollout_channel::send_to_steering(member steering, message kind, std::string body) {
     auto const result = co_await this->self->send(steering, kind, std::move(body));
     if (result == delivery::failed) {
-        this->self->unreachable_until[steering.instance] =
-            std::chrono::steady_clock::now() + unreachable_period;
+        this->skip(steering.instance);
         log::write(log::level::info, "rollout_steering_unreachable",
                    {{"instance", steering.instance}});
     }
     co_return result;
 }
 
+void rollout_channel::skip(std::string const& instance) {
+    this->self->skipped_until[instance] = std::chrono::steady_clock::now() + skip_period;
+}
+
 asio::awaitable<void> rollout_channel::announce_verdict(member receiver, std::string id) {
     co_await this->self->send(std::move(receiver), message::verdict, std::move(id));
 }
--- a/libraries/sidecar/rollout_channel.h
+++ b/libraries/sidecar/rollout_channel.h
@@ -44,6 +44,9 @@
     boost::asio::awaitable<delivery> send_to_steering(member steering, message kind,
                                                       std::string body);
 
+    /// Skips a member for a while, since it cannot steer.
+    void skip(std::string const& instance);
+
     /// Sends a verdict to a gate of the condemned version.
     boost::asio::awaitable<void> announce_verdict(member receiver, std::string id);
 
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -105,8 +105,13 @@
         if (!is_ok(report)) {
             return rollout_channel::delivery::failed;
         }
-        auto const current = this->running_rollout();
-        if (!current || rollout_id(*current) != value(report).move) {
+        auto const current = this->recorded_rollout();
+        // Without the roll-out or the store's clock this node cannot judge the evidence; the sender
+        // selects another node.
+        if (!current || rollout_id(*current) != value(report).move || !this->fleet.store_time()) {
+            return rollout_channel::delivery::failed;
+        }
+        if (current->phase != rollout_phase::running) {
             return rollout_channel::delivery::accepted;
         }
         auto& tracked = this->state_for(*current);
@@ -116,17 +121,22 @@
     }
 
     rollout_channel::delivery accept_verdict(std::string const& id) {
-        this->condemn(id);
-        return rollout_channel::delivery::accepted;
+        return this->condemn(id) ? rollout_channel::delivery::accepted
+                                 : rollout_channel::delivery::failed;
     }
 
-    // Records a verdict against the version of a roll-out of this node's service.
-    void condemn(std::string const& id) {
-        auto const current = this->running_rollout();
-        if (current && rollout_id(*current) == id) {
+    // Records a verdict against the version of a roll-out of this node's service. Returns false if
+    // this node does not know the roll-out.
+    bool condemn(std::string const& id) {
+        auto const current = this->recorded_rollout();
+        if (!current || rollout_id(*current) != id) {
+            return false;
+        }
+        if (current->phase == rollout_phase::running) {
             this->state_for(*current).is_condemned = true;
             this->update_blocked_version();
         }
+        return true;
     }
 
     bool is_condemned(rollout const& recorded) const {
@@ -166,7 +176,7 @@
             co_return idle_period;
         }
         auto const next = current->share >= large_share ? short_period : period;
-        auto const steering = this->steering_member();
+        auto const steering = this->choose_steering_member();
         if (!steering) {
             co_return next;
         }
@@ -177,6 +187,33 @@
         co_return next;
     }
 
+    // A node that is the first member but lacks the store's clock leaves the roll-out to the next
+    // member, which the others find in the same way when this node does not accept their evidence.
+    std::optional<member> choose_steering_member() {
+        auto const first = this->steering_member();
+        if (this->fleet.store_time()) {
+            this->set_unfit(false);
+            return first;
+        }
+        if (!first || first->instance != this->instance) {
+            return first;
+        }
+        this->set_unfit(true);
+        this->channel.skip(this->instance);
+        return this->steering_member();
+    }
+
+    void set_unfit(bool is_unfit_now) {
+        if (this->is_unfit == is_unfit_now) {
+            return;
+        }
+        this->is_unfit = is_unfit_now;
+        log::write(log::level::warning,
+                   is_unfit_now ? "rollout_left_to_next_member" : "rollout_steered_again",
+                   {{"service", this->service}, {"reason", "the store's clock is unknown"}});
+        this->handlers.set_unfit_to_steer(is_unfit_now);
+    }
+
     std::optional<member> steering_member() const {
         auto const view = this->views.load();
         auto const found = view->members.find(this->service);
@@ -385,6 +422,8 @@
     /// The version that the gate refuses; empty for none.
     std::string blocked;
     std::map<std::uint64_t, tracked_rollout> states;
+    /// Whether this node should steer a roll-out and lacks what it needs for that.
+    bool is_unfit = false;
 
     friend class rollout_steering;
 };
--- a/libraries/sidecar/rollout_steering.h
+++ b/libraries/sidecar/rollout_steering.h
@@ -27,7 +27,8 @@
 /// nodes that both act as the first member cannot overwrite each other's steps. A verdict against
 /// the version is also sent directly to the gates, which then refuse further requests even while
 /// the store is unavailable, until the recorded roll-out ends. A gate that knows the verdict passes
-/// it on to the node that steers next. Runs on the control thread.
+/// it on to the node that steers next. A member that does not know the roll-out or the store's
+/// clock refuses evidence, so that the next member steers. Runs on the control thread.
 class rollout_steering {
 public:
     /// Functions provided by other components of the node.
@@ -36,6 +37,8 @@
         std::function<boost::asio::awaitable<evidence_by_route>(std::string)> evidence;
         /// Sets the version of the node's service that the gate refuses; an empty text for none.
         std::function<void(std::string)> set_blocked_version;
+        /// Reports whether this node should steer a roll-out and cannot.
+        std::function<void(bool)> set_unfit_to_steer;
     };
 
     rollout_steering(boost::asio::io_context& context, connection_pool& connections,
@@ -53,7 +56,8 @@
     void rows_changed();
 
     /// Stores evidence from another node, or a verdict of the node that steers the roll-out. The
-    /// response to evidence states whether the version is condemned.
+    /// response to evidence states whether the version is condemned; its status is 400 if this node
+    /// cannot use the message.
     http_response accept(http_request const& request);
 
 private:
--- a/libraries/sidecar/row_exchange_message.cpp
+++ b/libraries/sidecar/row_exchange_message.cpp
@@ -22,6 +22,7 @@
 // A long-polling query occupies a connection, so the wait time is limited.
 constexpr milliseconds max_wait_limit{5000};
 constexpr unsigned status_ok = 200;
+constexpr std::string_view store_time_field = "Peridot-Store-Time";
 constexpr std::string_view encoding_field = "Content-Encoding";
 constexpr std::string_view zstandard_encoding = "zstd";
 // A configuration with many routes takes long to transfer on a link of 10 Mbit/s; compressing short
@@ -95,6 +96,9 @@
         answer.body = compress(answer.body);
         answer.headers.set(std::string(encoding_field), std::string(zstandard_encoding));
     }
+    if (page.store_time) {
+        add_store_time(answer, *page.store_time);
+    }
     return answer;
 }
 
@@ -120,7 +124,16 @@
     } catch (std::exception const& fault) {
         return malformed(fault.what());
     }
+    // Nodes that do not know the clock, or run an earlier version of the program, do not send it.
+    if (auto const time = number(answer.headers.value(store_time_field));
+        time && *time <= static_cast<std::uint64_t>(milliseconds::max().count())) {
+        page.store_time = milliseconds(*time);
+    }
     return page;
 }
 
+void add_store_time(http_response& answer, milliseconds store_time) {
+    answer.headers.set(std::string(store_time_field), std::to_string(store_time.count()));
+}
+
 } // namespace peridot
--- a/libraries/sidecar/row_page.h
+++ b/libraries/sidecar/row_page.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "core/time.h"
 #include "mesh/replica_row.h"
 #include "sidecar/row_query.h"
 
+#include <optional>
 #include <vector>
 
 namespace peridot {
@@ -15,6 +17,9 @@
     /// Whether the responding node follows the store's feed.
     bool is_current = false;
     std::vector<replica_row> rows;
+    /// The store's clock when the page was written; no value if the responding node does not know
+    /// it.
+    std::optional<milliseconds> store_time;
 
     bool operator==(row_page const&) const = default;
 };
--- a/libraries/sidecar/row_query_handler.cpp
+++ b/libraries/sidecar/row_query_handler.cpp
@@ -53,10 +53,10 @@
     }
 
     row_page page_for(row_query const& query) const {
-        auto [covered, is_current] = this->state_of_copy();
+        auto state = this->state_of_copy();
         row_page page;
-        page.covered = std::move(covered);
-        page.is_current = is_current;
+        page.covered = std::move(state.covered);
+        page.is_current = state.is_current;
         if (query.is_revisions_only) {
             return page;
         }
@@ -83,7 +83,13 @@
 
 asio::awaitable<http_response> row_query_handler::answer(row_query query) {
     co_await this->self->wait_for_changes(query);
-    co_return this->self->write_page(query);
+    http_response response = this->self->write_page(query);
+    // The clock is not part of the page, which is encoded once for several nodes.
+    auto const store_time = this->self->state_of_copy().store_time;
+    if (store_time && !query.is_revisions_only) {
+        add_store_time(response, *store_time);
+    }
+    co_return response;
 }
 
 } // namespace peridot
--- a/libraries/sidecar/row_query_handler.h
+++ b/libraries/sidecar/row_query_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/time.h"
 #include "http/http_response.h"
 #include "sidecar/row_query.h"
 
@@ -8,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace peridot {
 
@@ -21,6 +23,8 @@
         table_revisions covered;
         /// Whether this node follows the store's feed and the store is available to it.
         bool is_current = false;
+        /// The store's clock; no value if this node does not know it.
+        std::optional<milliseconds> store_time;
     };
     using state_function = std::function<copy_state()>;
 
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -40,6 +40,9 @@
     , target_awaited(registry.register_gauge(
           "peridot_target_awaited",
           "Whether a recorded target has not announced itself since the node's start."))
+    , unfit_to_steer(registry.register_gauge(
+          "peridot_rollout_unfit_to_steer",
+          "Whether this node should steer a roll-out but does not know the store's clock."))
     , configuration_version(registry.register_gauge("peridot_configuration_version",
                                                     "Version of the configuration in force."))
     , configuration_refusals(
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -23,6 +23,7 @@
     gauge& gate_waiting;
     gauge& gate_version_blocked;
     gauge& target_awaited;
+    gauge& unfit_to_steer;
     gauge& configuration_version;
     gauge& configuration_refusals;
     gauge& configuration_unknown_values;
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -320,6 +320,9 @@
                 this->gate.set_blocked_version(version);
             });
         };
+        handlers.set_unfit_to_steer = [this](bool is_unfit) {
+            this->metrics.unfit_to_steer.set(is_unfit ? 1 : 0);
+        };
         return handlers;
     }
 
--- a/tests/sidecar/row_exchange_message_test.cpp
+++ b/tests/sidecar/row_exchange_message_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <limits>
+
 using namespace peridot;
 
 namespace {
@@ -95,3 +97,18 @@
     answer.status = 503;
     CHECK_FALSE(is_ok(read_row_page(answer)));
 }
+
+// Guards against a node that never learns the store's clock, since it gets all rows from others.
+TEST(row_exchange_message, store_time_round_trips_at_its_limits) {
+    for (milliseconds const time :
+         {milliseconds(0), milliseconds(1'796'490'000'000), milliseconds::max()}) {
+        auto page = make_page();
+        page.store_time = time;
+        CHECK(value(read_row_page(write_row_page(page))).store_time == time);
+    }
+    CHECK_FALSE(value(read_row_page(write_row_page(make_page()))).store_time.has_value());
+    auto answer = write_row_page(make_page());
+    answer.headers.set("Peridot-Store-Time", "18446744073709551615");
+    CHECK(is_ok(read_row_page(answer)));
+    CHECK_FALSE(value(read_row_page(answer)).store_time.has_value());
+}
