sidecar: read each field between nodes in the range of its type

Cause: the limit for times applied to every number of hop_message, and an answer with one unreadable field counted as one of unknown outcome.

Each field is now read in the range of its own type, and times are limited by the sender as well. The outcome is read by itself, so that an unreadable state no longer changes it. A call that cannot be read is refused as not run.

--- a/libraries/sidecar/hop_message.cpp
+++ b/libraries/sidecar/hop_message.cpp
@@ -25,9 +25,13 @@
 constexpr std::size_t limited_call_field_count = call_field_count + 1;
 constexpr double requests_per_unit = 0.001;
 constexpr double max_rate_limit = 1e6;
+constexpr std::size_t outcome_field = 0;
+constexpr std::size_t code_field = 1;
+constexpr std::size_t retry_after_field = 2;
 constexpr std::size_t state_field_count = 10;
 constexpr double percent = 100;
-constexpr std::uint64_t max_milliseconds = 86'400'000;
+// The longest time that the platform's records can state.
+constexpr milliseconds max_time{std::chrono::hours(24)};
 constexpr unsigned status_refused = 503;
 constexpr unsigned status_unknown = 502;
 
@@ -62,19 +66,31 @@
     }
 }
 
-std::optional<std::uint64_t> parse_number(std::string_view text) {
-    std::uint64_t read = 0;
+template<typename Number>
+std::optional<Number> parse_number(std::string_view text) {
+    Number read = 0;
     auto const [end, failed] = std::from_chars(text.data(), text.data() + text.size(), read);
-    if (failed != std::errc{} || end != text.data() + text.size() ||
-        read > max_milliseconds * 1000) {
+    if (failed != std::errc{} || end != text.data() + text.size()) {
         return std::nullopt;
     }
     return read;
 }
 
+std::optional<milliseconds> parse_time(std::string_view text) {
+    auto const read = parse_number<std::uint64_t>(text);
+    if (!read || *read > static_cast<std::uint64_t>(max_time.count())) {
+        return std::nullopt;
+    }
+    return milliseconds(*read);
+}
+
+// Limits the time to the range that parse_time reads.
+std::string to_text(milliseconds time) {
+    return std::to_string(std::clamp(time, milliseconds(0), max_time).count());
+}
+
 std::string time_left_ms(boot_time at, boot_time now) {
-    auto const time = std::chrono::duration_cast<milliseconds>(at - now);
-    return std::to_string(std::max<std::int64_t>(0, time.count()));
+    return to_text(std::chrono::duration_cast<milliseconds>(at - now));
 }
 
 struct encoded_answer {
@@ -113,6 +129,50 @@
     }
 };
 
+std::optional<outcome> read_outcome(std::vector<std::string_view> const& parts) {
+    auto const read = parse_number<unsigned>(parts[outcome_field]);
+    if (!read || *read > static_cast<unsigned>(outcome::unknown)) {
+        return std::nullopt;
+    }
+    return static_cast<outcome>(*read);
+}
+
+result_code read_code(std::vector<std::string_view> const& parts) {
+    auto const read =
+        parts.size() > code_field ? parse_number<unsigned>(parts[code_field]) : std::nullopt;
+    return read ? static_cast<result_code>(*read) : result_code::request_answer_mismatched;
+}
+
+milliseconds read_retry_after(std::vector<std::string_view> const& parts) {
+    auto const read =
+        parts.size() > retry_after_field ? parse_time(parts[retry_after_field]) : std::nullopt;
+    return read.value_or(milliseconds(0));
+}
+
+// Returns no value if a field is missing or malformed: the outcome of the request does not depend
+// on the state that is attached to it.
+std::optional<hop_state> read_state(std::vector<std::string_view> const& parts) {
+    if (parts.size() != state_field_count) {
+        return std::nullopt;
+    }
+    auto const in_use = parse_number<unsigned>(parts[3]);
+    auto const waiting = parse_number<unsigned>(parts[4]);
+    auto const slots = parse_number<unsigned>(parts[5]);
+    auto const expected_wait = parse_time(parts[6]);
+    auto const service_time = parse_time(parts[7]);
+    auto const failures = parse_number<unsigned>(parts[8]);
+    auto const configuration = parse_number<std::uint64_t>(parts[9]);
+    if (!in_use || !waiting || !slots || !expected_wait || !service_time || !failures ||
+        !configuration) {
+        return std::nullopt;
+    }
+    hop_state state;
+    state.load = {*in_use,        *waiting,      *slots,
+                  *expected_wait, *service_time, static_cast<double>(*failures) / percent};
+    state.configuration = *configuration;
+    return state;
+}
+
 } // namespace
 
 void write_hop_call(http_request& request, gate_call const& call, boot_time now) {
@@ -140,26 +200,26 @@
     if (parts.size() != call_field_count && !has_limit) {
         return std::nullopt;
     }
-    auto const priority = parse_number(parts[1]);
-    auto const target = parse_number(parts[2]);
-    auto const deadline = parse_number(parts[3]);
-    auto const finish = parse_number(parts[4]);
-    if (!priority || !target || !deadline || !finish) {
+    auto const priority = parse_number<unsigned>(parts[1]);
+    auto const soft_deadline = parse_time(parts[2]);
+    auto const deadline = parse_time(parts[3]);
+    auto const finish = parse_time(parts[4]);
+    if (!priority || !soft_deadline || !deadline || !finish) {
         return std::nullopt;
     }
     gate_call call;
     call.kind = parts[0] == "1" ? request_kind::idempotent : request_kind::non_idempotent;
-    call.priority = static_cast<unsigned>(*priority);
-    call.soft_deadline = now + milliseconds(*target);
-    call.deadline = now + milliseconds(*deadline);
-    call.finish_by = now + milliseconds(*finish);
+    call.priority = *priority;
+    call.soft_deadline = now + *soft_deadline;
+    call.deadline = now + *deadline;
+    call.finish_by = now + *finish;
     call.target_id = decoded(parts[5]);
     call.calling_service = decoded(parts[6]);
     call.route = decoded(parts[7]);
     call.attempt_id = decoded(parts[8]);
     call.sender = parts[9];
     if (has_limit) {
-        if (auto const limit = parse_number(parts[10])) {
+        if (auto const limit = parse_number<std::uint64_t>(parts[10])) {
             call.rate_limit = static_cast<double>(*limit) * requests_per_unit;
         }
     }
@@ -170,48 +230,40 @@
 http_response write_hop_answer(gate_answer answer, hop_state const& state) {
     auto parts = std::visit(answer_writer{}, answer);
     auto const& load = state.load;
+    auto const failure_percent = std::lround(std::clamp(load.failure_rate, 0.0, 1.0) * percent);
     std::string text = std::to_string(static_cast<unsigned>(parts.kind));
-    for (std::uint64_t const field :
-         {static_cast<std::uint64_t>(parts.code),
-          static_cast<std::uint64_t>(parts.retry_after.count()), std::uint64_t{load.in_use},
-          std::uint64_t{load.waiting}, std::uint64_t{load.slots},
-          static_cast<std::uint64_t>(load.expected_wait.count()),
-          static_cast<std::uint64_t>(load.service_time.count()),
-          static_cast<std::uint64_t>(std::lround(load.failure_rate * percent)),
-          state.configuration}) {
-        text += ";" + std::to_string(field);
-    }
+    text += ";" + std::to_string(static_cast<unsigned>(parts.code));
+    text += ";" + to_text(parts.retry_after);
+    text += ";" + std::to_string(load.in_use);
+    text += ";" + std::to_string(load.waiting);
+    text += ";" + std::to_string(load.slots);
+    text += ";" + to_text(load.expected_wait);
+    text += ";" + to_text(load.service_time);
+    text += ";" + std::to_string(failure_percent);
+    text += ";" + std::to_string(state.configuration);
     parts.message.headers.set(state_header, text);
     return std::move(parts.message);
 }
 
 hop_answer extract_hop_answer(http_response answer) {
     auto const header = std::string(answer.headers.value(state_header));
-    std::vector<std::uint64_t> fields;
-    for (auto const part : split(header)) {
-        if (auto const read = parse_number(part)) {
-            fields.push_back(*read);
-        }
-    }
-    if (fields.size() != state_field_count) {
+    auto const parts = split(header);
+    auto const kind = read_outcome(parts);
+    if (!kind) {
         return {gate_unknown{{result_code::request_answer_mismatched,
-                              "the response of another node has a missing or malformed state"}},
+                              "the response of another node has no readable outcome"}},
                 std::nullopt};
     }
     answer.headers.remove(state_header);
-    hop_state state;
-    state.load = {static_cast<unsigned>(fields[3]), static_cast<unsigned>(fields[4]),
-                  static_cast<unsigned>(fields[5]), milliseconds(fields[6]),
-                  milliseconds(fields[7]),          static_cast<double>(fields[8]) / percent};
-    state.configuration = fields[9];
-    auto const code = static_cast<result_code>(fields[1]);
-    switch (static_cast<outcome>(fields[0])) {
+    auto const state = read_state(parts);
+    auto const code = read_code(parts);
+    switch (*kind) {
     case outcome::ran:
         return {gate_ran{std::move(answer)}, state};
     case outcome::target_refusal:
         return {gate_target_refusal{std::move(answer)}, state};
     case outcome::refusal:
-        return {gate_refusal{code, milliseconds(fields[2]), decode_target(answer.body)}, state};
+        return {gate_refusal{code, read_retry_after(parts), decode_target(answer.body)}, state};
     case outcome::unknown:
         break;
     }
--- a/libraries/sidecar/hop_message.h
+++ b/libraries/sidecar/hop_message.h
@@ -27,11 +27,13 @@
 /// Builds the response to another node.
 http_response write_hop_answer(gate_answer answer, hop_state const& state);
 
-/// A response from another node, with the state attached to it.
+/// A response from another node, with the state attached to it. Without a readable state, the
+/// outcome of the request still holds.
 struct hop_answer {
     gate_answer answer;
     std::optional<hop_state> state;
 };
+/// Returns an unknown outcome only if the outcome itself is missing or malformed.
 hop_answer extract_hop_answer(http_response answer);
 
 } // namespace peridot
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -189,9 +189,8 @@
     asio::awaitable<http_response> respond_to_peer(http_request request) {
         auto call = extract_hop_call(request, boot_clock::now());
         if (!call) {
-            http_response malformed;
-            malformed.status = 400;
-            co_return malformed;
+            // The request is not run, so the sender may offer it to another node.
+            co_return write_hop_answer(gate_refusal{result_code::request_malformed, {}}, {});
         }
         if (call->sender != this->last_sender) {
             this->last_sender = call->sender;
--- a/tests/sidecar/hop_message_test.cpp
+++ b/tests/sidecar/hop_message_test.cpp
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <limits>
+#include <string>
+
 using namespace peridot;
 
 namespace {
@@ -68,3 +71,93 @@
     request.headers.set("Peridot-Call", text);
     CHECK(extract_hop_call(request, now).has_value());
 }
+
+// Guards against a served request that is answered as failed because the version in force exceeds
+// the range of another field (kcg-mesh, RECOVER).
+TEST(hop_message, answers_round_trip_at_the_limits_of_each_field) {
+    auto const max_unsigned = std::numeric_limits<unsigned>::max();
+    milliseconds const longest{std::chrono::hours(24)};
+    for (std::uint64_t const version :
+         {std::uint64_t{0}, std::uint64_t{86'400'000'001}, std::uint64_t{1'796'490'000'000},
+          std::numeric_limits<std::uint64_t>::max()}) {
+        hop_state state;
+        state.load = {max_unsigned, max_unsigned, max_unsigned, longest, longest, 1.0};
+        state.configuration = version;
+        auto const read = extract_hop_answer(write_hop_answer(gate_ran{{200, {}, "body"}}, state));
+        auto const* ran = std::get_if<gate_ran>(&read.answer);
+        CHECK(ran != nullptr);
+        STRCMP_EQUAL("body", ran->answer.body.c_str());
+        CHECK(read.state.has_value());
+        CHECK(read.state->configuration == version);
+        UNSIGNED_LONGS_EQUAL(max_unsigned, read.state->load.in_use);
+        UNSIGNED_LONGS_EQUAL(max_unsigned, read.state->load.waiting);
+        UNSIGNED_LONGS_EQUAL(max_unsigned, read.state->load.slots);
+        CHECK(read.state->load.expected_wait == longest);
+        CHECK(read.state->load.service_time == longest);
+        DOUBLES_EQUAL(1.0, read.state->load.failure_rate, 1e-9);
+    }
+}
+
+// Guards against values that a node computes outside of a field's range, such as a wait without
+// end, and that the receiver could not read.
+TEST(hop_message, values_out_of_range_are_limited_by_the_sender) {
+    hop_state state;
+    state.load.expected_wait = milliseconds::max();
+    state.load.service_time = milliseconds(-1);
+    state.load.failure_rate = 7;
+    auto const read = extract_hop_answer(write_hop_answer(
+        gate_refusal{result_code::request_overloaded, milliseconds::max()}, state));
+    auto const* refused = std::get_if<gate_refusal>(&read.answer);
+    CHECK(refused != nullptr);
+    CHECK(refused->retry_after > milliseconds(0));
+    CHECK(read.state.has_value());
+    CHECK(read.state->load.expected_wait > milliseconds(0));
+    CHECK(read.state->load.service_time == milliseconds(0));
+    DOUBLES_EQUAL(1.0, read.state->load.failure_rate, 1e-9);
+}
+
+// Guards against a field of the state that cannot be read, and turns a request that has run, or
+// that was refused, into one of unknown outcome.
+TEST(hop_message, unreadable_state_does_not_change_the_outcome) {
+    hop_state const state;
+    for (std::string const odd : {"0;0;0;1;1;1;1;1;1;99999999999999999999999",
+                                  "0;0;0;x;1;1;1;1;1;1", "0;0;0;1", "0;0;0;1;1;1;1;1;1;1;1"}) {
+        auto answer = write_hop_answer(gate_ran{{200, {}, "body"}}, state);
+        answer.headers.set("Peridot-State", odd);
+        auto const read = extract_hop_answer(std::move(answer));
+        CHECK(std::holds_alternative<gate_ran>(read.answer));
+        CHECK_FALSE(read.state.has_value());
+    }
+    auto refusal = write_hop_answer(gate_refusal{result_code::request_draining, {}}, state);
+    refusal.headers.set("Peridot-State",
+                        "2;" +
+                            std::to_string(static_cast<unsigned>(result_code::request_draining)) +
+                            ";x;1;1;1;1;1;1;1");
+    auto const read = extract_hop_answer(std::move(refusal));
+    auto const* refused = std::get_if<gate_refusal>(&read.answer);
+    CHECK(refused != nullptr);
+    CHECK(refused->reason == result_code::request_draining);
+}
+
+// Guards against an outcome that is guessed.
+TEST(hop_message, answer_without_a_readable_outcome_is_unknown) {
+    for (std::string const odd : {"", "x;0;0;1;1;1;1;1;1;1", "7;0;0;1;1;1;1;1;1;1"}) {
+        http_response answer{200, {}, "body"};
+        answer.headers.set("Peridot-State", odd);
+        CHECK(std::holds_alternative<gate_unknown>(extract_hop_answer(std::move(answer)).answer));
+    }
+}
+
+// Guards against calls that another node cannot read because a value is at the limit of its type.
+TEST(hop_message, calls_round_trip_at_the_limits_of_each_field) {
+    auto call = make_call();
+    call.priority = std::numeric_limits<unsigned>::max();
+    call.soft_deadline = now + std::chrono::hours(24);
+    call.deadline = now + std::chrono::hours(24);
+    call.finish_by = boot_time::max();
+    auto const read = exchanged(call);
+    CHECK(read.has_value());
+    UNSIGNED_LONGS_EQUAL(call.priority, read->priority);
+    CHECK(read->deadline == call.deadline);
+    CHECK(read->finish_by >= call.deadline);
+}
--- a/tests/sidecar/row_exchange_message_test.cpp
+++ b/tests/sidecar/row_exchange_message_test.cpp
@@ -112,3 +112,16 @@
     CHECK(is_ok(read_row_page(answer)));
     CHECK_FALSE(value(read_row_page(answer)).store_time.has_value());
 }
+
+// Guards against revisions that lose digits between nodes.
+TEST(row_exchange_message, revisions_round_trip_at_the_limit_of_their_type) {
+    auto const limit = std::numeric_limits<std::uint64_t>::max();
+    auto page = make_page();
+    page.covered["op"] = limit;
+    page.rows.front().revision = limit;
+    auto const read = read_row_page(write_row_page(page));
+    CHECK(value(read).covered == page.covered);
+    CHECK(value(read).rows == page.rows);
+    row_query const query{{{"op", limit}}, milliseconds(700), false};
+    CHECK(read_row_query(write_row_query(query))->held == query.held);
+}
