http: limit the buffer of connections from clients

Reported by operators of other systems: bytes without end filled a machine's memory.

The buffer now holds the header limit in force and 128 KiB, and the request is answered 431.

--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -36,12 +36,16 @@
 constexpr milliseconds sweep_period{1000};
 // Time for the client to read the last response and to close its side.
 constexpr milliseconds linger_time{500};
+// Room beside the header for a part of a body and for chunk lines.
+constexpr std::size_t buffer_margin = std::size_t{128} * 1024;
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 http_response make_error_response(boost::system::error_code reason) {
-    unsigned const status = reason == http::error::body_limit     ? 413
-                            : reason == http::error::header_limit ? 431
-                                                                  : 400;
+    bool const is_header_too_large =
+        reason == http::error::header_limit || reason == http::error::buffer_overflow;
+    unsigned const status = reason == http::error::body_limit ? 413
+                            : is_header_too_large             ? 431
+                                                              : 400;
     auto const code =
         status == 413 ? result_code::request_too_large : result_code::request_malformed;
     return {status,
@@ -194,6 +198,9 @@
                 co_return false;
             }
         }
+        // A parser processes a line, the fields and the trailer as a whole, so the buffer limits
+        // them. It also holds requests that the client has sent ahead.
+        client->buffer.max_size(this->limits.header_bytes + buffer_margin);
         http::request_parser<http::string_body> parser;
         parser.body_limit(this->limits.body_bytes);
         parser.header_limit(this->limits.header_bytes);
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -1,4 +1,5 @@
 #include "http/connection_pool.h"
+#include "http/endless_server.h"
 #include "http/http_server.h"
 #include "http/raw_client.h"
 #include "http/raw_server.h"
@@ -363,6 +364,46 @@
     }
 }
 
+// Guards against a client that reads on, and keeps what it has read, while a server writes without
+// end. Targets, other nodes and the store are called through this pool.
+TEST(http, servers_that_write_without_end_are_given_up) {
+    constexpr std::size_t megabyte = std::size_t{1024} * 1024;
+    endless_server const server({"127.0.0.1", 0});
+    for (std::size_t form = 0; form < endless_server::forms(); ++form) {
+        auto const written_before = server.written_bytes();
+        exchange(server.address(), {"GET", "/", {}, {}}, seconds(20));
+        UNSIGNED_LONGS_EQUAL(form + 1, server.connections());
+        UNSIGNED_LONGS_EQUAL(0, connections.connections(server.address()));
+        // The limit of a body, and what the sockets hold.
+        CHECK(server.written_bytes() - written_before < 16 * megabyte);
+    }
+}
+
+// Guards against a node that runs out of memory because a client sends a line, fields or a body
+// without end: the server has to refuse the request without waiting for its end.
+TEST(http, requests_without_end_are_refused) {
+    http_limits limits;
+    limits.body_bytes = 1000;
+    auto const address = server.start(echo, limits);
+    std::string const endless(std::size_t{1024} * 1024, 'x');
+    std::string fields;
+    std::string chunks;
+    while (fields.size() < endless.size()) {
+        fields += "X-Field: y\r\n";
+        chunks += "10\r\n0123456789abcdef\r\n";
+    }
+    std::string const post = "POST / HTTP/1.1\r\nHost: a\r\n";
+    std::string const chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+    for (std::string const& request :
+         {"GET /" + endless, "GET / HTTP/1.1\r\nX-Field: " + endless, "GET / HTTP/1.1\r\n" + fields,
+          chunked + "1;" + endless, chunked + chunks, chunked + "0\r\nX-Trailer: " + endless,
+          chunked + "0\r\n" + fields, post + "Content-Length: 99999999999999\r\n\r\n" + endless}) {
+        auto const response = send_and_read(address, request);
+        STRCMP_CONTAINS("HTTP/1.1 4", response.c_str());
+    }
+    UNSIGNED_LONGS_EQUAL(200, status_of(exchange(address, {"POST", "/", {}, "whole"})));
+}
+
 // Guards against a node that runs out of memory because several faulty servers write bodies without
 // end at the same time, each within the limit of one body.
 TEST(http, bodies_without_end_share_a_limit) {
--- a/tests/processes/mesh_support/sidecar_fleet.cpp
+++ b/tests/processes/mesh_support/sidecar_fleet.cpp
@@ -181,11 +181,23 @@
 }
 
 socket_address sidecar_fleet::control_address(mesh_instance const& instance) {
-    return {instance.ip, control_port};
+    return control_address_at(instance.ip);
 }
 
 socket_address sidecar_fleet::peers_address(mesh_instance const& instance) {
-    return {instance.ip, peers_port};
+    return peers_address_at(instance.ip);
+}
+
+std::string sidecar_fleet::unused_ip() const {
+    return this->subnet + "250";
+}
+
+socket_address sidecar_fleet::peers_address_at(std::string const& ip) {
+    return {ip, peers_port};
+}
+
+socket_address sidecar_fleet::control_address_at(std::string const& ip) {
+    return {ip, control_port};
 }
 
 socket_address sidecar_fleet::proxied_peers_address(mesh_instance const& instance) {
--- a/tests/processes/mesh_support/sidecar_fleet.h
+++ b/tests/processes/mesh_support/sidecar_fleet.h
@@ -77,6 +77,10 @@
     /// instance behind a proxy accepts them.
     static socket_address peers_address(mesh_instance const& instance);
     static socket_address proxied_peers_address(mesh_instance const& instance);
+    /// An address that no instance has, and the addresses of a node that would be there.
+    std::string unused_ip() const;
+    static socket_address peers_address_at(std::string const& ip);
+    static socket_address control_address_at(std::string const& ip);
     /// The addresses of the node's heartbeats and of its exchange with other nodes.
     static socket_address heartbeats_address(mesh_instance const& instance);
     static socket_address control_address(mesh_instance const& instance);
--- a/tests/processes/support/child_process.cpp
+++ b/tests/processes/support/child_process.cpp
@@ -128,6 +128,18 @@
     return read_file(this->output_file);
 }
 
+std::size_t child_process::peak_memory_bytes() const {
+    std::ifstream status(std::filesystem::path("/proc") / std::to_string(this->id) / "status");
+    for (std::string word; status >> word;) {
+        if (word == "VmHWM:") {
+            std::size_t kilobytes = 0;
+            status >> kilobytes;
+            return kilobytes * 1024;
+        }
+    }
+    return 0;
+}
+
 std::string child_process::log() const {
     return read_file(this->log_file);
 }
--- a/tests/processes/support/child_process.h
+++ b/tests/processes/support/child_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -32,6 +33,8 @@
     /// Waits for the first line of the output and returns it; empty if the process prints none.
     std::string first_line();
     std::string output() const;
+    /// Largest resident memory of the running process in bytes; 0 if it has ended.
+    std::size_t peak_memory_bytes() const;
     std::string log() const;
 
 private:
