sidecar: clear the duty of a roll-out that has ended

The metric peridot_rollout_unfit_to_steer stayed 1 on a node that had left a roll-out to the next member when that roll-out ended.

--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -173,6 +173,7 @@
     asio::awaitable<milliseconds> step() {
         auto const current = this->running_rollout();
         if (!current) {
+            this->set_unfit(false);
             co_return idle_period;
         }
         auto const next = current->share >= large_share ? short_period : period;
@@ -208,9 +209,12 @@
             return;
         }
         this->is_unfit = is_unfit_now;
-        log::write(log::level::warning,
-                   is_unfit_now ? "rollout_left_to_next_member" : "rollout_steered_again",
-                   {{"service", this->service}, {"reason", "the store's clock is unknown"}});
+        if (is_unfit_now) {
+            log::write(log::level::warning, "rollout_left_to_next_member",
+                       {{"service", this->service}, {"reason", "the store's clock is unknown"}});
+        } else {
+            log::write(log::level::info, "rollout_duty_cleared", {{"service", this->service}});
+        }
         this->handlers.set_unfit_to_steer(is_unfit_now);
     }
 
