http: keep the buffer limit at the bytes that are held

A lower header limit, put in force while a connection holds requests sent ahead, could set the limit of its buffer below its size. Found while reading the change; not seen.

--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -200,7 +200,8 @@
         }
         // A parser processes a line, the fields and the trailer as a whole, so the buffer limits
         // them. It also holds requests that the client has sent ahead.
-        client->buffer.max_size(this->limits.header_bytes + buffer_margin);
+        client->buffer.max_size(
+            std::max(this->limits.header_bytes + buffer_margin, client->buffer.size()));
         http::request_parser<http::string_body> parser;
         parser.body_limit(this->limits.body_bytes);
         parser.header_limit(this->limits.header_bytes);
