--- a/tests/processes/sidecar/endless_bytes_test.cpp
+++ b/tests/processes/sidecar/endless_bytes_test.cpp
@@ -8,6 +8,7 @@
 
 #include <iostream>
 #include <string>
+#include <utility>
 
 using namespace peridot;
 using namespace peridot::http_tests;
@@ -20,6 +21,19 @@
 
 constexpr std::size_t min_connections = 3;
 
+member make_member(std::string instance, std::string ip, std::string service) {
+    member faulty;
+    faulty.instance = std::move(instance);
+    faulty.ip = std::move(ip);
+    faulty.availability_zone = "ariana";
+    faulty.processor_share = 1;
+    faulty.target.id = "i-faulty";
+    faulty.target.service = std::move(service);
+    faulty.target.version = "v1";
+    faulty.target.slots = 100;
+    return faulty;
+}
+
 } // namespace
 
 // A peer or a store that writes bytes without end.
@@ -67,14 +81,7 @@
     auto const faulty_ip = fleet.unused_ip();
     endless_server const rows(sidecar_fleet::control_address_at(faulty_ip));
     // The first node of the zone by name and share, which the others ask for rows.
-    member faulty;
-    faulty.instance = "a-faulty-node";
-    faulty.ip = faulty_ip;
-    faulty.availability_zone = "ariana";
-    faulty.processor_share = 1;
-    faulty.target.id = "i-faulty";
-    faulty.target.service = "tickets";
-    faulty.target.version = "v1";
+    auto const faulty = make_member("a-faulty-node", faulty_ip, "tickets");
     fleet.store().put("peridot", "member/" + faulty.instance, encode_member(faulty));
     CHECK(is_served_beside(caller, rows));
     CHECK(rows.written_bytes() > 0);
@@ -92,15 +99,7 @@
     CHECK(wait_until([&] { return is_served(caller, "/get/1"); }));
     auto const faulty_ip = fleet.unused_ip();
     endless_server const answers(sidecar_fleet::peers_address_at(faulty_ip));
-    member faulty;
-    faulty.instance = "z-faulty-node";
-    faulty.ip = faulty_ip;
-    faulty.availability_zone = "ariana";
-    faulty.processor_share = 1;
-    faulty.target.id = "i-faulty";
-    faulty.target.service = "deposits";
-    faulty.target.version = "v1";
-    faulty.target.slots = 100;
+    auto const faulty = make_member("z-faulty-node", faulty_ip, "deposits");
     fleet.store().put("peridot", "member/" + faulty.instance, encode_member(faulty));
     CHECK(wait_until([&] {
         is_served(caller, "/get/1");
