sidecar, moves: count requests without an answer as evidence

A version whose every answer is abandoned never left its warm-up, since that began with the first call that ended.

Cause: only a request that ended with an answer was an observation.

Now each request counts, from the moment it is passed on, in the latency buckets that it has reached. Its observation is an object whose destruction means that the caller left, so no way out of the gate loses one. A caller that leaves says "no answer within t": it counts as slow below t, for both versions alike, and not at all above, so that impatience alone is neither slowness nor speed. The older program counts its cancelled attempts in the same way. Reports carry the unanswered calls in a new field; nodes of the earlier version ignore it, and their reports are read as before.

--- a/benchmarks/move_decision/catalogue.cpp
+++ b/benchmarks/move_decision/catalogue.cpp
@@ -45,6 +45,20 @@
     return cases;
 }
 
+// Every caller leaves after three times the median latency.
+scenario with_leaving_callers(scenario result) {
+    result.leaves_after = milliseconds(60);
+    return result;
+}
+
+std::vector<scenario> cases_with_leaving_callers() {
+    return {with_leaving_callers(good("leaving callers, good")),
+            with_leaving_callers(bad("leaving callers, slow 2x", 0, 2)),
+            with_leaving_callers(bad("leaving callers, slow 4x", 0, 4)),
+            with_leaving_callers(bad("leaving callers, slow 8x", 0, 8)),
+            with_leaving_callers(bad("leaving callers, never answers", 0, 1000))};
+}
+
 std::vector<scenario> bad_cases() {
     std::vector<scenario> cases = {
         bad("fails 100 %", 1, 1),
@@ -82,6 +96,9 @@
     for (auto& added : bad_cases()) {
         cases.push_back(std::move(added));
     }
+    for (auto& added : cases_with_leaving_callers()) {
+        cases.push_back(std::move(added));
+    }
     return cases;
 }
 
--- a/benchmarks/move_decision/scenario.h
+++ b/benchmarks/move_decision/scenario.h
@@ -46,6 +46,8 @@
     /// From half of the duration on, both versions fail this fraction of the calls and are 1.5x
     /// slower.
     double both_failures = 0;
+    /// Callers leave after this time if there is no answer; zero if they wait.
+    milliseconds leaves_after{0};
     /// Whether the new version starts 4x slower, recovering over 20 s, with 2 % failures in the
     /// first 5 s.
     bool cold_start = false;
--- a/benchmarks/move_decision/traffic.cpp
+++ b/benchmarks/move_decision/traffic.cpp
@@ -26,6 +26,12 @@
     return (low + high) / 2;
 }
 
+void add_reached(version_evidence& counts, std::size_t bucket) {
+    for (std::size_t reached = 0; reached <= bucket; ++reached) {
+        counts.reached[reached] += 1;
+    }
+}
+
 std::vector<double> normal_quantiles(std::size_t count) {
     std::vector<double> quantiles(count);
     for (std::size_t index = 0; index < count; ++index) {
@@ -39,6 +45,9 @@
 
 traffic::traffic(scenario const& given_case, std::uint64_t seed)
     : test_case(given_case), source(seed) {
+    if (given_case.leaves_after.count() > 0) {
+        this->last_awaited_bucket = latency_buckets::index(given_case.leaves_after);
+    }
     this->plan_bursts();
 }
 
@@ -150,21 +159,30 @@
     constexpr double range = 4'294'967'296.0;
     auto const limit = static_cast<std::uint64_t>(conditions.failures * range);
     std::uint64_t failed = 0;
+    std::uint64_t abandoned = 0;
     for (std::uint64_t call = 0; call < calls; ++call) {
         std::uint64_t const drawn_bits = this->source();
         if ((drawn_bits >> 32U) < limit) {
             ++failed;
+            add_reached(counts, 0);
         } else {
-            counts.latencies[table[drawn_bits & 1023U]] += 1;
+            std::size_t const bucket = table[drawn_bits & 1023U];
+            add_reached(counts, std::min(bucket, this->last_awaited_bucket));
+            if (bucket <= this->last_awaited_bucket) {
+                counts.latencies[bucket] += 1;
+            } else {
+                ++abandoned;
+            }
         }
     }
     // The slots in use are proportional to the version's share of the requests, up to 80 %.
     auto const pressure = static_cast<std::uint64_t>(80 * share);
-    counts.calls += calls;
+    auto const ended = calls - abandoned;
+    counts.calls += ended;
     counts.failures += failed;
-    counts.pressure_sum += pressure * calls;
+    counts.pressure_sum += pressure * ended;
     if (pressure >= 70) {
-        counts.loaded_calls += calls;
+        counts.loaded_calls += ended;
         counts.loaded_failures += failed;
     }
     return {calls, failed};
--- a/benchmarks/move_decision/traffic.h
+++ b/benchmarks/move_decision/traffic.h
@@ -6,6 +6,7 @@
 #include "scenario.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -62,6 +63,8 @@
     version_conditions new_conditions_with_fault;
     double first_call_at = -1;
     double current_share = 0;
+    /// Callers do not wait for answers in higher latency buckets.
+    std::size_t last_awaited_bucket = latency_buckets::count - 1;
     bool fault_is_active = false;
 };
 
--- a/libraries/moves/call_outcome.h
+++ b/libraries/moves/call_outcome.h
@@ -9,7 +9,9 @@
     succeeded,
     /// The target failed: an error response, a broken connection, or no response by the deadline.
     failed,
-    /// Refused by a limit, shed, cancelled by the caller or not executed; not counted.
+    /// The caller left before there was an answer. How long it waited is known.
+    abandoned,
+    /// Refused by a limit, shed or not executed; not counted.
     not_judged,
 };
 
--- a/libraries/moves/evidence_counter.cpp
+++ b/libraries/moves/evidence_counter.cpp
@@ -15,6 +15,11 @@
         }
         return found->second;
     }
+
+    version_evidence& at(std::string_view route, target_side side) {
+        auto& evidence = this->at(route);
+        return side == target_side::new_version ? evidence.new_version : evidence.old_version;
+    }
 };
 
 evidence_counter::evidence_counter() : state(std::make_unique<implementation>()) {}
@@ -23,12 +28,28 @@
 evidence_counter& evidence_counter::operator=(evidence_counter&&) noexcept = default;
 
 void evidence_counter::record(std::string_view route, call_result const& call) {
+    this->record(route, call, 0);
+}
+
+void evidence_counter::record_progress(std::string_view route, target_side side, std::size_t first,
+                                       std::size_t end) {
+    auto& counts = this->state->at(route, side);
+    for (auto bucket = first; bucket < end; ++bucket) {
+        counts.reached[bucket] += 1;
+    }
+}
+
+void evidence_counter::record(std::string_view route, call_result const& call,
+                              std::size_t counted_buckets) {
     if (call.outcome == call_outcome::not_judged || call.attempt == call_attempt::retry) {
         return;
     }
-    auto& evidence = this->state->at(route);
-    auto& counts =
-        call.side == target_side::new_version ? evidence.new_version : evidence.old_version;
+    this->record_progress(route, call.side, counted_buckets,
+                          latency_buckets::index(call.latency) + 1);
+    if (call.outcome == call_outcome::abandoned) {
+        return;
+    }
+    auto& counts = this->state->at(route, call.side);
     bool const failed = call.outcome == call_outcome::failed;
     bool const loaded = call.pressure >= call_result::high_pressure;
     counts.calls += 1;
--- a/libraries/moves/evidence_counter.h
+++ b/libraries/moves/evidence_counter.h
@@ -3,6 +3,7 @@
 #include "moves/call_result.h"
 #include "moves/route_evidence.h"
 
+#include <cstddef>
 #include <memory>
 #include <string_view>
 
@@ -18,10 +19,17 @@
     evidence_counter(evidence_counter const&) = delete;
     evidence_counter& operator=(evidence_counter const&) = delete;
 
-    /// Counts a call, unless it is a retry or its outcome is not attributable to the target. Route
-    /// names that exceed the maximum length are truncated.
+    /// Counts a call that has ended, unless it is a retry or its outcome is not attributable to the
+    /// target. Route names that exceed the maximum length are truncated.
     void record(std::string_view route, call_result const& call);
 
+    /// Counts a call that is in progress in the buckets that it has reached since it was last
+    /// counted: from the first given one to the one before the second. The buckets of a call in
+    /// progress are not counted again by the second form of record().
+    void record_progress(std::string_view route, target_side side, std::size_t first,
+                         std::size_t end);
+    void record(std::string_view route, call_result const& call, std::size_t counted_buckets);
+
     /// Adds the counts of another counter, such as a worker's.
     void add(evidence_by_route const& counts);
 
--- a/libraries/moves/evidence_report.cpp
+++ b/libraries/moves/evidence_report.cpp
@@ -13,23 +13,37 @@
 // Size of the tags, lengths and checksum that sealing adds.
 constexpr std::size_t sealing_size = 8;
 
+using bucket_field = google::protobuf::RepeatedField<std::uint64_t>;
+
 error malformed(std::string message) {
     return {result_code::datagram_malformed, std::move(message)};
 }
 
+// Trailing zeros are omitted.
+void write(latency_buckets::counts const& from, bucket_field& to) {
+    auto const last =
+        std::find_if(from.rbegin(), from.rend(), [](std::uint64_t count) { return count != 0; });
+    to.Add(from.begin(), last.base());
+}
+
 void write(version_evidence const& from, moves_wire::version_counts& to) {
     to.set_calls(from.calls);
     to.set_failures(from.failures);
     to.set_loaded_calls(from.loaded_calls);
     to.set_loaded_failures(from.loaded_failures);
     to.set_pressure_sum(from.pressure_sum);
-    auto const last = std::find_if(from.latencies.rbegin(), from.latencies.rend(),
-                                   [](std::uint64_t count) { return count != 0; });
-    to.mutable_latencies()->Add(from.latencies.begin(), last.base());
+    write(from.latencies, *to.mutable_latencies());
+    auto unanswered = from.reached;
+    for (std::size_t bucket = 0; bucket < latency_buckets::count; ++bucket) {
+        unanswered[bucket] -= calls_at_or_above(from.latencies, bucket);
+    }
+    write(unanswered, *to.mutable_unanswered());
 }
 
 result<version_evidence> read(moves_wire::version_counts const& from) {
-    if (static_cast<std::size_t>(from.latencies_size()) > latency_buckets::count) {
+    auto const buckets =
+        static_cast<std::size_t>(std::max(from.latencies_size(), from.unanswered_size()));
+    if (buckets > latency_buckets::count) {
         return malformed("evidence report has too many latency buckets");
     }
     version_evidence counts;
@@ -39,6 +53,10 @@
     counts.loaded_failures = from.loaded_failures();
     counts.pressure_sum = from.pressure_sum();
     std::copy(from.latencies().begin(), from.latencies().end(), counts.latencies.begin());
+    std::copy(from.unanswered().begin(), from.unanswered().end(), counts.reached.begin());
+    for (std::size_t bucket = 0; bucket < latency_buckets::count; ++bucket) {
+        counts.reached[bucket] += calls_at_or_above(counts.latencies, bucket);
+    }
     if (!is_valid_successor(counts, version_evidence{})) {
         return malformed("evidence report has inconsistent counts");
     }
--- a/libraries/moves/judge.cpp
+++ b/libraries/moves/judge.cpp
@@ -59,7 +59,7 @@
     }
 
     void update_warm_up(wall_time now) {
-        if (!this->first_new_call_time && pooled(this->observed).new_version.calls > 0) {
+        if (!this->first_new_call_time && sent_calls(pooled(this->observed).new_version) > 0) {
             this->first_new_call_time = now;
         }
         this->is_warming_up =
--- a/libraries/moves/local_suspicion.cpp
+++ b/libraries/moves/local_suspicion.cpp
@@ -68,7 +68,9 @@
 
 void local_suspicion::record(steady_time now, call_result const& call) {
     auto& self = *this->state;
-    if (call.outcome == call_outcome::not_judged || call.attempt == call_attempt::retry) {
+    bool const is_judged =
+        call.outcome == call_outcome::succeeded || call.outcome == call_outcome::failed;
+    if (!is_judged || call.attempt == call_attempt::retry) {
         return;
     }
     bool const failed = call.outcome == call_outcome::failed;
--- a/libraries/moves/report_policy.cpp
+++ b/libraries/moves/report_policy.cpp
@@ -50,10 +50,6 @@
     return {counts.calls, counts.failures};
 }
 
-event_sample slow_calls_of(version_evidence const& counts, std::size_t bucket) {
-    return {calls_at_or_above(counts.latencies, 0), calls_at_or_above(counts.latencies, bucket)};
-}
-
 bool has_burst(route_evidence const& sent, route_evidence const& increase) {
     bool const reports_immediately = sent.new_version.calls < report_policy::immediate_report_calls;
     auto const& old_sent = sent.old_version;
@@ -65,11 +61,10 @@
         return true;
     }
     auto const bucket = slow_bucket(old_sent.latencies);
-    return is_burst(slow_calls_of(increase.new_version, bucket),
+    return is_burst(slow_calls(increase.new_version, bucket),
                     reports_immediately ? 1 : report_policy::burst_slow_calls,
-                    expected_rate(slow_calls_of(old_sent, bucket),
-                                  slow_calls_of(old_increase, bucket),
-                                  slow_calls_of(sent.new_version, bucket)));
+                    expected_rate(slow_calls(old_sent, bucket), slow_calls(old_increase, bucket),
+                                  slow_calls(sent.new_version, bucket)));
 }
 
 bool has_grown(std::uint64_t now, std::uint64_t sent, double factor) {
@@ -106,7 +101,7 @@
         static route_evidence const none;
         auto const last_sent = this->sent.find(route);
         auto const& previous = last_sent == this->sent.end() ? none : last_sent->second;
-        if (counts.new_version.calls == previous.new_version.calls) {
+        if (counts.new_version == previous.new_version) {
             return false;
         }
         return has_burst(previous, {count_increase(counts.old_version, previous.old_version),
@@ -121,7 +116,7 @@
 
 bool report_policy::is_due(steady_time now, evidence_by_route const& counts) const {
     auto const sum = pooled(counts);
-    if (sum.new_version.calls == 0 && sum.old_version.calls == 0) {
+    if (sent_calls(sum.new_version) == 0 && sent_calls(sum.old_version) == 0) {
         return false;
     }
     if (!this->state->sent_at || this->state->share_changed) {
@@ -134,15 +129,16 @@
     if (this->state->is_repeat_pending && since >= repeat_interval) {
         return true;
     }
-    if (has_grown(sum.new_version.calls, this->state->sent_total.new_version.calls,
+    auto const& reported = this->state->sent_total;
+    if (has_grown(sent_calls(sum.new_version), sent_calls(reported.new_version),
                   new_growth_factor) ||
-        has_grown(sum.old_version.calls, this->state->sent_total.old_version.calls,
+        has_grown(sent_calls(sum.old_version), sent_calls(reported.old_version),
                   old_growth_factor)) {
         return true;
     }
     if (this->state->budget_at(now) > 0 &&
-        (is_sparse(sum.new_version.calls, this->state->sent_total.new_version.calls, since) ||
-         is_sparse(sum.old_version.calls, this->state->sent_total.old_version.calls, since))) {
+        (is_sparse(sent_calls(sum.new_version), sent_calls(reported.new_version), since) ||
+         is_sparse(sent_calls(sum.old_version), sent_calls(reported.old_version), since))) {
         return true;
     }
     return std::any_of(counts.begin(), counts.end(), [this](auto const& entry) {
--- a/libraries/moves/route_judgement.cpp
+++ b/libraries/moves/route_judgement.cpp
@@ -32,10 +32,6 @@
     return {counts.calls, std::min(counts.failures, counts.calls)};
 }
 
-event_sample slow_calls_of(version_evidence const& counts, std::size_t bucket) {
-    return {calls_at_or_above(counts.latencies, 0), calls_at_or_above(counts.latencies, bucket)};
-}
-
 std::optional<std::size_t> first_bucket_above(latency_buckets::counts const& latencies,
                                               double quantile) {
     auto const calls = calls_at_or_above(latencies, 0);
@@ -89,12 +85,12 @@
     if (!quantile.bucket) {
         return;
     }
-    auto const old_slow = slow_calls_of(increase.old_version, *quantile.bucket);
+    auto const old_slow = slow_calls(increase.old_version, *quantile.bucket);
     if (now == stage::warming_up) {
         quantile.comparison.add_reference(old_slow);
         return;
     }
-    quantile.comparison.observe(old_slow, slow_calls_of(increase.new_version, *quantile.bucket + 1),
+    quantile.comparison.observe(old_slow, slow_calls(increase.new_version, *quantile.bucket + 1),
                                 start_weight);
 }
 
--- a/libraries/proxy/move_recorder.cpp
+++ b/libraries/proxy/move_recorder.cpp
@@ -20,7 +20,7 @@
                                                          : call_outcome::succeeded;
     }
     if (ended.failed->code == result_code::request_cancelled) {
-        return call_outcome::not_judged;
+        return call_outcome::abandoned;
     }
     bool const is_fault = ended.failed->outcome == attempt_outcome::unknown ||
                           ended.failed->code == result_code::request_connect_failed;
--- a/libraries/proxy/route_counters.cpp
+++ b/libraries/proxy/route_counters.cpp
@@ -21,7 +21,15 @@
 void route_counters::version_counters::record(call_result const& call) {
     bool const failed = call.outcome == call_outcome::failed;
     bool const loaded = call.pressure >= call_result::high_pressure;
-    add(failed ? this->failures : this->latencies[latency_buckets::index(call.latency)], 1);
+    bool const succeeded = call.outcome == call_outcome::succeeded;
+    auto& buckets = succeeded ? this->latencies : this->unanswered;
+    add(buckets[latency_buckets::index(call.latency)], 1);
+    if (call.outcome == call_outcome::abandoned) {
+        return;
+    }
+    if (failed) {
+        add(this->failures, 1);
+    }
     add(this->pressure_sum, std::min(call.pressure, full_pressure));
     if (loaded) {
         add(this->loaded_calls, 1);
@@ -39,6 +47,11 @@
         counts.latencies[bucket] = read(this->latencies[bucket]);
         counts.calls += counts.latencies[bucket];
     }
+    std::uint64_t reached = 0;
+    for (std::size_t bucket = latency_buckets::count; bucket-- > 0;) {
+        reached += counts.latencies[bucket] + read(this->unanswered[bucket]);
+        counts.reached[bucket] = reached;
+    }
     counts.loaded_calls = std::min(read(this->loaded_calls), counts.calls);
     counts.loaded_failures =
         std::min({read(this->loaded_failures), counts.failures, counts.loaded_calls});
--- a/libraries/proxy/route_counters.h
+++ b/libraries/proxy/route_counters.h
@@ -26,6 +26,8 @@
         std::atomic<std::uint64_t> loaded_failures{0};
         std::atomic<std::uint64_t> pressure_sum{0};
         std::array<std::atomic<std::uint64_t>, latency_buckets::count> latencies{};
+        /// Calls without a latency, by the bucket that they reached: abandoned or failed.
+        std::array<std::atomic<std::uint64_t>, latency_buckets::count> unanswered{};
 
         void record(call_result const& call);
         version_evidence load() const;
--- a/libraries/sidecar/rollout_evidence.cpp
+++ b/libraries/sidecar/rollout_evidence.cpp
@@ -1,51 +1,38 @@
 #include "sidecar/rollout_evidence.h"
 
 #include "mesh/rollout_plan.h"
-#include "moves/evidence_counter.h"
+#include "sidecar/observed_request.h"
+#include "sidecar/request_observer.h"
 
-namespace peridot {
-
-class rollout_evidence::implementation {
-public:
-    implementation(rcu_cell<fleet_view> const& fleet_views, std::string own_service)
-        : views(fleet_views), service(std::move(own_service)) {}
+#include <optional>
+#include <utility>
 
-    rcu_cell<fleet_view> const& views;
-    std::string service;
-    std::string id;
-    evidence_counter counter;
-};
+namespace peridot {
 
 rollout_evidence::rollout_evidence(rcu_cell<fleet_view> const& views, std::string service)
-    : self(std::make_unique<implementation>(views, std::move(service))) {}
+    : views(views), service(std::move(service)), observer(std::make_shared<request_observer>()) {}
 
 rollout_evidence::~rollout_evidence() = default;
 
-void rollout_evidence::record(target_result const& observed) {
-    auto const view = this->self->views.load();
-    if (!view) {
-        return;
-    }
-    auto const found = view->rollouts.find(this->self->service);
-    if (found == view->rollouts.end() || found->second.phase != rollout_phase::running) {
-        return;
-    }
-    auto const id = rollout_id(found->second);
-    if (id != this->self->id) {
-        this->self->id = id;
-        this->self->counter = evidence_counter();
+std::shared_ptr<observed_request> rollout_evidence::start(std::string route,
+                                                          std::string const& version,
+                                                          unsigned pressure, boot_time now) {
+    std::optional<target_side> side;
+    auto const view = this->views.load();
+    if (view) {
+        auto const found = view->rollouts.find(this->service);
+        if (found != view->rollouts.end() && found->second.phase == rollout_phase::running) {
+            this->observer->set_rollout(rollout_id(found->second));
+            side =
+                version == found->second.to ? target_side::new_version : target_side::old_version;
+        }
     }
-    call_result call;
-    call.side =
-        observed.version == found->second.to ? target_side::new_version : target_side::old_version;
-    call.outcome = observed.is_failure ? call_outcome::failed : call_outcome::succeeded;
-    call.latency = observed.latency;
-    call.pressure = static_cast<std::uint8_t>(observed.pressure);
-    this->self->counter.record(observed.route, call);
+    auto const number = this->observer->start(std::move(route), side, pressure, now);
+    return std::make_shared<observed_request>(this->observer, number);
 }
 
-evidence_by_route rollout_evidence::counts(std::string const& id) const {
-    return id == this->self->id ? this->self->counter.counts() : evidence_by_route{};
+evidence_by_route rollout_evidence::counts(std::string const& id, boot_time now) const {
+    return id == this->observer->rollout() ? this->observer->counts(now) : evidence_by_route{};
 }
 
 } // namespace peridot
--- a/libraries/sidecar/rollout_evidence.h
+++ b/libraries/sidecar/rollout_evidence.h
@@ -1,16 +1,19 @@
 #pragma once
 
+#include "core/boot_clock.h"
 #include "core/rcu_cell.h"
 #include "mesh/fleet_view.h"
 #include "moves/route_evidence.h"
-#include "sidecar/target_result.h"
 
 #include <memory>
 #include <string>
 
 namespace peridot {
 
-/// Counts the results of the node's own target during a roll-out of its service. Runs on the data
+class observed_request;
+class request_observer;
+
+/// Counts the requests at the node's own target during a roll-out of its service. Runs on the data
 /// thread.
 class rollout_evidence {
 public:
@@ -21,14 +24,18 @@
     rollout_evidence(rollout_evidence&&) = delete;
     rollout_evidence& operator=(rollout_evidence&&) = delete;
 
-    void record(target_result const& observed);
+    /// Starts to observe a request that is passed on to the target, which runs the given version.
+    /// The pressure is the percentage of the target's slots in use.
+    std::shared_ptr<observed_request> start(std::string route, std::string const& version,
+                                            unsigned pressure, boot_time now);
 
     /// Returns the counts for the roll-out with that id; empty for any other id.
-    evidence_by_route counts(std::string const& id) const;
+    evidence_by_route counts(std::string const& id, boot_time now) const;
 
 private:
-    class implementation;
-    std::unique_ptr<implementation> self;
+    rcu_cell<fleet_view> const& views;
+    std::string service;
+    std::shared_ptr<request_observer> observer;
 };
 
 } // namespace peridot
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -88,10 +88,8 @@
         , control_connections(control_context, store_http_limits())
         , store(control_connections, initial.store)
         , evidence(views, initial.service)
-        , gate(
-              data_context, connections, initial.target, metrics,
-              [this](target_result const& observed) { this->evidence.record(observed); },
-              [this](target_record const& draining) { this->record_draining(draining); })
+        , gate(data_context, connections, initial.target, metrics, evidence,
+               [this](target_record const& draining) { this->record_draining(draining); })
         , entry(identity_of(initial), bounds, views, connections, gate, metrics,
                 [this](std::string const& ip, std::uint64_t version) {
                     this->request_newer_configuration(ip, version);
@@ -329,7 +327,7 @@
     asio::awaitable<evidence_by_route> read_evidence(std::string id) {
         auto const read = [](implementation* node,
                              std::string requested) -> asio::awaitable<evidence_by_route> {
-            co_return node->evidence.counts(requested);
+            co_return node->evidence.counts(requested, boot_clock::now());
         };
         co_return co_await asio::co_spawn(this->data_context, read(this, std::move(id)),
                                           asio::use_awaitable);
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -10,7 +10,9 @@
 #include "observability/latency_histogram.h"
 #include "platform/messages.h"
 #include "sidecar/body_limits.h"
+#include "sidecar/observed_request.h"
 #include "sidecar/recent_ids.h"
+#include "sidecar/rollout_evidence.h"
 #include "sidecar/sidecar_metrics.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -33,19 +35,21 @@
 constexpr milliseconds answer_margin{20};
 constexpr milliseconds queue_check_period{100};
 constexpr unsigned first_failure_status = 500;
+// Percentage of the target's slots in use when all of them are.
+constexpr unsigned full_pressure = 100;
 
 } // namespace
 
 class target_gate::implementation {
 public:
     implementation(asio::io_context& io, connection_pool& pool, socket_address target_address,
-                   sidecar_metrics& node_metrics, result_function on_result,
+                   sidecar_metrics& node_metrics, rollout_evidence& request_evidence,
                    draining_function on_draining)
         : context(io)
         , connections(pool)
         , address(std::move(target_address))
         , metrics(node_metrics)
-        , report_result(std::move(on_result))
+        , evidence(request_evidence)
         , report_draining(std::move(on_draining)) {}
 
     // A request that waits for a slot, and the decision once it is made.
@@ -242,11 +246,12 @@
                     {"target", call.target_id},
                     {"in_use", static_cast<std::int64_t>(current.in_use)},
                     {"waiting", static_cast<std::int64_t>(current.waiting)}});
-        target_result observed;
-        observed.route = call.route;
-        observed.version = this->target->version;
-        observed.pressure =
-            current.slots == 0 ? 100 : std::min(100U, 100 * current.in_use / current.slots);
+        auto const pressure =
+            current.slots == 0
+                ? full_pressure
+                : std::min(full_pressure, full_pressure * current.in_use / current.slots);
+        auto const observed =
+            this->evidence.start(call.route, this->target->version, pressure, started);
         write_target_request(request,
                              std::chrono::duration_cast<milliseconds>(call.deadline - started),
                              call.target_id, call.calling_service);
@@ -262,33 +267,35 @@
         auto outcome = co_await this->connections.exchange(
             this->address, std::move(request), to_steady_time(call.deadline + answer_margin),
             options);
-        observed.latency = std::chrono::duration_cast<microseconds>(boot_clock::now() - started);
-        this->metrics.target_duration.record(observed.latency);
+        auto const ended_at = boot_clock::now();
+        this->metrics.target_duration.record(
+            std::chrono::duration_cast<microseconds>(ended_at - started));
         if (auto const* failed = std::get_if<exchange_failure>(&outcome)) {
             if (failed->progress == exchange_progress::not_sent) {
+                observed->finish(call_outcome::not_judged, ended_at);
                 co_return gate_refusal{result_code::request_connect_failed, {}};
             }
-            // A disconnecting caller cancels the exchange, which does not indicate a failure of the
-            // target.
+            // A disconnecting caller cancels the exchange. That is no failure of the target, but
+            // shows how long it has not answered.
             auto const ended = co_await asio::this_coro::cancellation_state;
             if (ended.cancelled() == asio::cancellation_type::none) {
-                observed.is_failure = true;
-                this->report(observed);
+                this->report(*observed, call_outcome::failed);
             }
             this->log_unknown_outcome(call, failed->reason);
             co_return gate_unknown{failed->reason};
         }
         auto& answer = std::get<http_response>(outcome);
+        observed->set_response_started(ended_at);
         auto const proof = classify_answer(answer, call.attempt_id);
         if (proof != execution_proof::none) {
             this->observe_notice(call, answer);
         }
         switch (proof) {
         case execution_proof::not_run:
+            observed->finish(call_outcome::not_judged, ended_at);
             co_return gate_target_refusal{std::move(answer)};
         case execution_proof::none: {
-            observed.is_failure = true;
-            this->report(observed);
+            this->report(*observed, call_outcome::failed);
             error const reason{result_code::request_answer_mismatched,
                                "the target's response lacks the required headers"};
             this->log_unknown_outcome(call, reason);
@@ -297,35 +304,37 @@
         case execution_proof::ran:
             break;
         }
-        observed.is_failure = answer.status >= first_failure_status;
-        guard->ended =
-            observed.is_failure ? gate_queue::outcome::failed : gate_queue::outcome::succeeded;
+        bool const is_failure = answer.status >= first_failure_status;
+        guard->ended = is_failure ? gate_queue::outcome::failed : gate_queue::outcome::succeeded;
+        auto const result = is_failure ? call_outcome::failed : call_outcome::succeeded;
         if (answer.rest) {
-            this->report_after_transfer(call, observed, answer, guard);
+            this->report_after_transfer(call, observed, result, answer, guard);
         } else {
-            this->report(observed);
+            this->report(*observed, result);
         }
         co_return gate_ran{std::move(answer)};
     }
 
     // The target is at work until the end of its response, so its slot is held until then. A body
     // that is cut counts as a failure of the target.
-    void report_after_transfer(gate_call const& call, target_result const& observed,
-                               http_response& answer, std::shared_ptr<slot_guard> const& guard) {
+    void report_after_transfer(gate_call const& call,
+                               std::shared_ptr<observed_request> const& observed,
+                               call_outcome answered, http_response& answer,
+                               std::shared_ptr<slot_guard> const& guard) {
         answer.completion_guard = guard;
         std::weak_ptr<slot_guard> const slot = guard;
-        answer.rest->add_end_handler([this, call, observed, slot](body_outcome outcome) {
-            auto result = observed;
+        answer.rest->add_end_handler([this, call, observed, answered, slot](body_outcome outcome) {
+            auto result = answered;
             if (outcome == body_outcome::failed) {
-                result.is_failure = true;
+                result = call_outcome::failed;
                 this->log_unknown_outcome(call, {result_code::request_answer_incomplete,
                                                  "the target's response ended early"});
             }
             auto const held = slot.lock();
-            if (held && result.is_failure) {
+            if (held && result == call_outcome::failed) {
                 held->ended = gate_queue::outcome::failed;
             }
-            this->report(result);
+            this->report(*observed, result);
         });
     }
 
@@ -364,11 +373,13 @@
         }
     }
 
-    void report(target_result const& observed) {
-        this->failures.observe(observed.is_failure ? decaying_failure_rate::outcome::failed
-                                                   : decaying_failure_rate::outcome::succeeded,
-                               boot_clock::now());
-        this->report_result(observed);
+    void report(observed_request& observed, call_outcome result) {
+        auto const now = boot_clock::now();
+        this->failures.observe(result == call_outcome::failed
+                                   ? decaying_failure_rate::outcome::failed
+                                   : decaying_failure_rate::outcome::succeeded,
+                               now);
+        observed.finish(result, now);
     }
 
     void log_refusal(gate_call const& call, gate_refusal const& refused) {
@@ -404,7 +415,7 @@
     connection_pool& connections;
     socket_address address;
     sidecar_metrics& metrics;
-    result_function report_result;
+    rollout_evidence& evidence;
     draining_function report_draining;
     decaying_failure_rate failures;
     std::optional<target_record> target;
@@ -420,10 +431,9 @@
 
 target_gate::target_gate(asio::io_context& context, connection_pool& connections,
                          socket_address target, sidecar_metrics& metrics,
-                         result_function report_result, draining_function report_draining)
+                         rollout_evidence& evidence, draining_function report_draining)
     : self(std::make_unique<implementation>(context, connections, std::move(target), metrics,
-                                            std::move(report_result), std::move(report_draining))) {
-}
+                                            evidence, std::move(report_draining))) {}
 
 target_gate::~target_gate() = default;
 
--- a/libraries/sidecar/target_gate.h
+++ b/libraries/sidecar/target_gate.h
@@ -6,7 +6,6 @@
 #include "mesh/target_record.h"
 #include "sidecar/gate_answer.h"
 #include "sidecar/gate_call.h"
-#include "sidecar/target_result.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,6 +18,7 @@
 namespace peridot {
 
 class connection_pool;
+class rollout_evidence;
 struct sidecar_metrics;
 
 /// Admission control for the local target. All requests to the target pass through it, whether they
@@ -31,14 +31,11 @@
 /// thread-safe.
 class target_gate {
 public:
-    /// Called for each request that the target ran or may have run.
-    using result_function = std::function<void(target_result const&)>;
-
     /// Called when the target states in a response that it drains.
     using draining_function = std::function<void(target_record const&)>;
 
     target_gate(boost::asio::io_context& context, connection_pool& connections,
-                socket_address target, sidecar_metrics& metrics, result_function report_result,
+                socket_address target, sidecar_metrics& metrics, rollout_evidence& evidence,
                 draining_function report_draining);
     ~target_gate();
     target_gate(target_gate const&) = delete;
--- a/tests/moves/evidence_test.cpp
+++ b/tests/moves/evidence_test.cpp
@@ -52,6 +52,32 @@
     }
 }
 
+// Guards against a caller that leaves early and thereby speaks for or against its version.
+TEST(evidence, abandoned_call_counts_only_below_the_time_that_its_caller_waited) {
+    evidence_counter counter;
+    count_calls(counter, 3, 0);
+    counter.record("GET /payouts", call_to(target_side::new_version, call_outcome::abandoned));
+    auto const counts = pooled(counter.counts()).new_version;
+    CHECK_EQUAL(4U, slow_calls(counts, latency_buckets::index(milliseconds(10))).events);
+    CHECK_EQUAL(3U, slow_calls(counts, latency_buckets::index(milliseconds(50))).calls);
+    CHECK_EQUAL(0U, slow_calls(counts, latency_buckets::index(milliseconds(50))).events);
+    CHECK_EQUAL(3U, counts.calls);
+}
+
+// Guards against calls without an answer that are lost on the way to the judge.
+TEST(evidence, calls_without_an_answer_round_trip) {
+    evidence_counter counter;
+    count_calls(counter, 20, 2);
+    counter.record_progress("GET /payouts", target_side::new_version, 0,
+                            latency_buckets::index(seconds(2)));
+    counter.record("GET /payouts", call_to(target_side::old_version, call_outcome::abandoned));
+    for (auto const& datagram : encode(report_of(counter, 1))) {
+        auto const decoded = decode_evidence_report(datagram);
+        CHECK(is_ok(decoded));
+        CHECK(value(decoded).routes == counter.counts());
+    }
+}
+
 // Guards against a take-back that is caused by refusals of limits or by retries.
 TEST(evidence, refusals_and_retries_are_not_counted) {
     evidence_counter counter;
--- a/tests/moves/judge_test.cpp
+++ b/tests/moves/judge_test.cpp
@@ -5,6 +5,7 @@
 #include "moves/e_value.h"
 #include "moves/evidence_aggregator.h"
 #include "moves/evidence_counter.h"
+#include "moves/latency_buckets.h"
 #include "moves/rate_comparison.h"
 
 #include <CppUTest/TestHarness.h>
@@ -280,3 +281,16 @@
     }
     CHECK_EQUAL(0U, service.state.gate);
 }
+
+// Guards against a version that leaves no answer behind, so that its warm-up never ends and its
+// calls in progress are never judged.
+TEST(judge, version_that_never_answers_is_taken_back) {
+    judged_service service;
+    bool is_back = false;
+    for (int second = 0; second < 90 && !is_back; ++second) {
+        service.counter.record_progress("r", target_side::new_version, 0,
+                                        latency_buckets::index(seconds(1)));
+        is_back = std::holds_alternative<take_back>(service.run_second(99, good, 0, good));
+    }
+    CHECK(is_back);
+}
