moves: tell latencies beyond a second apart

Half of the old version's requests take 0.5 s and a tenth of them more than 1 s.

Cause: the latency histogram ended at 1,024 ms. The edge above the old version's 90 % quantile could not lie above it, so answers after 1.1 s and after 4 s were the same.

The buckets now reach 65.5 s in the same steps.

Test: moves.evidence.latencies_differ_up_to_a_minute fails on the code before.

--- a/libraries/moves/latency_buckets.cpp
+++ b/libraries/moves/latency_buckets.cpp
@@ -12,7 +12,7 @@
 
 auto const& latency_axis() {
     static axis::regular<double, axis::transform::log> const instance(
-        static_cast<unsigned>(latency_buckets::count - 2), 0.5, 1024.0);
+        static_cast<unsigned>(latency_buckets::count - 2), 0.5, 65'536.0);
     return instance;
 }
 
--- a/libraries/moves/latency_buckets.h
+++ b/libraries/moves/latency_buckets.h
@@ -8,10 +8,10 @@
 
 namespace peridot {
 
-/// The buckets of a coarse latency histogram: one below 0.5 ms, 22 up to 1,024 ms whose edges
+/// The buckets of a coarse latency histogram: one below 0.5 ms, 34 up to 65.5 s whose edges
 /// increase by a factor of the square root of 2, and one above.
 struct latency_buckets {
-    static constexpr std::size_t count = 24;
+    static constexpr std::size_t count = 36;
     using counts = std::array<std::uint64_t, count>;
 
     /// The index of the bucket that contains a latency.
--- a/tests/moves/evidence_test.cpp
+++ b/tests/moves/evidence_test.cpp
@@ -52,6 +52,14 @@
     }
 }
 
+// Guards against latencies that cannot be told apart: beyond a second, a version that took several
+// times as long as the old one seemed equal to it (review/4, EXPOSURE).
+TEST(evidence, latencies_differ_up_to_a_minute) {
+    for (auto latency = milliseconds(600); latency <= seconds(30); latency *= 2) {
+        CHECK_EQUAL(latency_buckets::index(latency) + 2, latency_buckets::index(latency * 2));
+    }
+}
+
 // Guards against a caller that leaves early and thereby speaks for or against its version.
 TEST(evidence, abandoned_call_counts_only_below_the_time_that_its_caller_waited) {
     evidence_counter counter;
