moves: compare the latencies of each route with its own

Cause: the test of all routes together added their histograms. A quick route's answers that take eight times as long are still quicker than the usual ones of the slow route, so they did not show there, and the test of a single route has a sixteenth of the weight on the users' platform. Its edges, the median and the 90 % quantile, also tell little of a version that is slow with a few requests: beyond 90 % the old version is slow with up to a tenth itself.

Each route now has its own edges, and the test of all routes adds the slow calls, not the latencies.

--- a/libraries/moves/event_sample.h
+++ b/libraries/moves/event_sample.h
@@ -10,4 +10,11 @@
     std::uint64_t events = 0;
 };
 
+/// Adds each count of the right operand to the left.
+inline event_sample& operator+=(event_sample& left, event_sample const& right) {
+    left.calls += right.calls;
+    left.events += right.events;
+    return left;
+}
+
 } // namespace peridot
--- a/libraries/moves/judge.cpp
+++ b/libraries/moves/judge.cpp
@@ -1,5 +1,6 @@
 #include "moves/judge.h"
 
+#include "moves/latency_edges.h"
 #include "moves/route_judgement.h"
 #include "moves/step_schedule.h"
 
@@ -26,6 +27,7 @@
     judge_settings settings;
 
     evidence_by_route observed;
+    std::map<std::string, latency_edges, std::less<>> edges;
     route_judgement all_routes;
     std::map<std::string, route_judgement, std::less<>> route_judgements;
     std::optional<wall_time> first_new_call_time;
@@ -99,12 +101,15 @@
         auto const stage = this->is_warming_up ? route_judgement::stage::warming_up
                                                : route_judgement::stage::judging;
         double const weight = this->start_weight(now);
-        this->all_routes.observe(pooled(increases), stage, weight);
+        route_samples block;
         for (auto const& [route, counts] : increases) {
+            auto const samples = this->edges[route].observe(counts);
+            block += samples;
             if (auto* judgement = this->find_or_create_judgement(route); judgement != nullptr) {
-                judgement->observe(counts, stage, weight);
+                judgement->observe(samples, stage, weight);
             }
         }
+        this->all_routes.observe(block, stage, weight);
     }
 
     take_back make_take_back(wall_time now) const {
--- a/libraries/moves/route_judgement.h
+++ b/libraries/moves/route_judgement.h
@@ -1,26 +1,25 @@
 #pragma once
 
 #include "moves/rate_comparison.h"
-#include "moves/route_evidence.h"
+#include "moves/route_samples.h"
 #include "moves/take_back.h"
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 
 namespace peridot {
 
 /// The tests of one route, or of all routes together: failures, gross failures during the warm-up,
-/// and the shift of two latency quantiles.
+/// and the shift of latency quantiles.
 class route_judgement {
 public:
     enum class stage : std::uint8_t { warming_up, judging };
 
     route_judgement();
 
-    /// Adds the increase of the evidence. See rate_comparison::observe for the start weight.
-    void observe(route_evidence const& increase, stage now, double start_weight);
+    /// Adds a block of evidence. See rate_comparison::observe for the start weight.
+    void observe(route_samples const& block, stage now, double start_weight);
 
     /// Weighted mean of the tests' e-values, which is itself an e-value.
     double e_value() const;
@@ -33,20 +32,18 @@
     bool is_against_baseline() const { return this->failures.is_against_baseline(); }
 
 private:
-    struct quantile_comparison {
-        double quantile = 0;
-        rate_comparison comparison;
-        /// First bucket above the old version's quantile; fixed after a sufficient number of calls.
-        std::optional<std::size_t> bucket;
-    };
+    static constexpr std::size_t first_latency_test = 2;
+    static constexpr std::size_t test_count = first_latency_test + route_samples::quantile_count;
 
-    void observe_quantile(quantile_comparison& quantile, route_evidence const& increase, stage now,
-                          double start_weight) const;
+    struct weighted_test {
+        double weight = 0;
+        rate_comparison const* test = nullptr;
+    };
+    std::array<weighted_test, test_count> weighted_tests() const;
 
     rate_comparison gross_failures;
     rate_comparison failures;
-    std::array<quantile_comparison, 2> quantiles;
-    latency_buckets::counts old_latencies{};
+    std::array<rate_comparison, route_samples::quantile_count> quantiles;
     bool has_started = false;
 };
 
--- a/libraries/moves/unpaired_calls.cpp
+++ b/libraries/moves/unpaired_calls.cpp
@@ -14,12 +14,6 @@
 // Number of the new version's calls over which the ratio of the versions' calls is averaged.
 constexpr double ratio_window_calls = 30;
 
-event_sample& operator+=(event_sample& left, event_sample const& right) {
-    left.calls += right.calls;
-    left.events += right.events;
-    return left;
-}
-
 } // namespace
 
 event_sample unpaired_calls::add(event_sample old_version) {
--- a/tests/moves/judge_test.cpp
+++ b/tests/moves/judge_test.cpp
@@ -282,6 +282,30 @@
     CHECK_EQUAL(0U, service.state.gate);
 }
 
+// Guards against a slow version among routes with different latencies: its slow answers on a quick
+// route with a fifth of the calls did not show beside the usual answers of a slow one.
+TEST(judge, slow_answers_of_a_quick_route_are_found_beside_a_slow_route) {
+    judged_service service;
+    auto const count = [&service](std::string const& route, target_side side, int calls,
+                                  milliseconds latency) {
+        for (int call = 0; call < calls; ++call) {
+            service.counter.record(
+                route, {side, call_attempt::first, call_outcome::succeeded, latency, 20});
+        }
+    };
+    bool is_back = false;
+    for (int second = 0; second < 60 && !is_back; ++second) {
+        count("a-slow", target_side::old_version, 200, milliseconds(600));
+        count("b-quick", target_side::old_version, 50, milliseconds(40));
+        count("a-slow", target_side::new_version, 8, milliseconds(600));
+        count("b-quick", target_side::new_version, 2, milliseconds(160));
+        service.now += seconds(1);
+        is_back = std::holds_alternative<take_back>(
+            service.decider.assess(service.now, service.state, service.counter.counts()));
+    }
+    CHECK(is_back);
+}
+
 // Guards against a version that leaves no answer behind, so that its warm-up never ends and its
 // calls in progress are never judged.
 TEST(judge, version_that_never_answers_is_taken_back) {
