mesh: take a step only when the outcome of its requests is known

`has_enough_evidence` counted requests that ended, mostly the quick ones, the least time of a step was 1 s, the completion waited 1.5 s whatever was known, and an e-value below 20 was no reason to wait.

Now a step lasts at least until it is known of its requests whether they are slow, an eighth of the roll-out at most, and counts requests whose outcome is known by then, whatever it is. The last step and the completion ask that of the step before them and of the last step, and an e-value below 1; only the deadline cuts it short, and the last step comes early enough for a completion in time. The steps before the last one come at their times. The decisions moved from rollout_steering to rollout_controller, which takes the time as an argument; each one logs what it was based on (`rollout_evidence`).

--- /dev/null
+++ b/libraries/mesh/rollout_controller.cpp
@@ -0,0 +1,77 @@
+#include "mesh/rollout_controller.h"
+
+#include "mesh/rollout_plan.h"
+#include "moves/judge.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+namespace peridot {
+
+namespace {
+
+// The judge divides its false-alarm rate by this number of routes of a service.
+constexpr std::size_t judged_routes = 8;
+
+} // namespace
+
+class rollout_controller::implementation {
+public:
+    implementation(rollout const& current, std::string instance)
+        : rollout_judge(make_rollout_plan(current), std::move(instance), judged_routes,
+                        rollout_judge_settings()) {}
+
+    decision decide(rollout const& current, evidence_by_route const& totals, milliseconds now) {
+        move_state state;
+        state.move = rollout_id(current);
+        state.gate = current.step;
+        auto const verdict = this->rollout_judge.assess(to_wall_time(now), state, totals);
+        if (auto const* back = std::get_if<take_back>(&verdict)) {
+            return *back;
+        }
+        if (auto const* raise = std::get_if<step_raise>(&verdict)) {
+            return rollout_step{raise->step, make_rollout_plan(current).ramp[raise->step].share};
+        }
+        if (this->is_complete(current, now)) {
+            return rollout_completion{};
+        }
+        return no_change{};
+    }
+
+    judge rollout_judge;
+    std::optional<milliseconds> last_step_since;
+
+private:
+    bool is_complete(rollout const& current, milliseconds now) {
+        if (current.share < 1) {
+            return false;
+        }
+        if (!this->last_step_since) {
+            this->last_step_since = now;
+        }
+        auto const summary = this->rollout_judge.summary();
+        bool const is_judged = summary.is_step_judged || is_completion_due(current, now);
+        return is_judged && !summary.is_holding &&
+               can_complete_rollout(current, *this->last_step_since, now);
+    }
+};
+
+rollout_controller::rollout_controller(rollout const& current, std::string instance)
+    : self(std::make_unique<implementation>(current, std::move(instance))) {}
+rollout_controller::~rollout_controller() = default;
+rollout_controller::rollout_controller(rollout_controller&&) noexcept = default;
+rollout_controller& rollout_controller::operator=(rollout_controller&&) noexcept = default;
+
+rollout_controller::decision rollout_controller::decide(rollout const& current,
+                                                        evidence_by_route const& totals,
+                                                        milliseconds now) {
+    return this->self->decide(current, totals, now);
+}
+
+judge_summary rollout_controller::summary() const {
+    return this->self->rollout_judge.summary();
+}
+
+} // namespace peridot
--- a/libraries/mesh/rollout_plan.cpp
+++ b/libraries/mesh/rollout_plan.cpp
@@ -1,5 +1,6 @@
 #include "mesh/rollout_plan.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 
@@ -17,13 +18,17 @@
     {{0.02, 0.0}, {0.05, 0.25}, {0.25, 0.53}, {1.0, 0.60}}};
 // New targets are slow for some seconds after their start, which is not a fault of the version.
 constexpr int warm_up_divisor = 6;
-constexpr std::uint64_t minimum_calls_per_step = 12;
+constexpr std::uint64_t minimum_calls_per_step = 16;
 constexpr seconds minimum_step_time{1};
+// A roll-out sends few requests before its last step, so a slight suspicion is enough to wait. The
+// e-value of a good version falls below this within some tens of requests.
+constexpr double last_hold_threshold = 1;
 // All requests go to the new version for at least this long before the old targets may stop, even
 // if that makes the rollout late. A version that fails only under load shows it during this time,
 // and it cannot be rolled back once the old targets have stopped.
 constexpr milliseconds min_completion_time{1500};
-
+// Time before the deadline at which the completion is written at the latest.
+constexpr milliseconds completion_write_time{600};
 milliseconds fraction_of(milliseconds time, double fraction) {
     return milliseconds(std::llround(static_cast<double>(time.count()) * fraction));
 }
@@ -53,6 +58,8 @@
     settings.warm_up_divisor = warm_up_divisor;
     settings.minimum_calls_per_step = minimum_calls_per_step;
     settings.minimum_step_time = minimum_step_time;
+    settings.last_hold_threshold = last_hold_threshold;
+    settings.completion_time = min_completion_time + completion_write_time;
     // The old targets stay until the roll-out is complete or rolled back, however late that is.
     settings.ends_after_watch = false;
     return settings;
@@ -69,6 +76,10 @@
     return is_taken_back && has_other_version ? recorded.to : std::string();
 }
 
+bool is_completion_due(rollout const& current, milliseconds now) {
+    return now >= current.started + current.duration - completion_write_time;
+}
+
 bool can_complete_rollout(rollout const& current, milliseconds last_step_since, milliseconds now) {
     return current.share >= 1 && now - last_step_since >= min_completion_time;
 }
--- a/libraries/mesh/rollout_plan.h
+++ b/libraries/mesh/rollout_plan.h
@@ -31,6 +31,9 @@
 /// targets stop with a completion even if a node has condemned the version meanwhile.
 std::string blocked_version(rollout const& recorded, bool is_condemned);
 
+/// Whether the deadline is so close that the rollout has to be completed to be in time.
+bool is_completion_due(rollout const& current, milliseconds now);
+
 /// Whether all requests have gone to the new version for long enough to complete the rollout.
 bool can_complete_rollout(rollout const& current, milliseconds last_step_since, milliseconds now);
 
--- a/libraries/moves/judge.cpp
+++ b/libraries/moves/judge.cpp
@@ -2,6 +2,7 @@
 
 #include "moves/latency_edges.h"
 #include "moves/route_judgement.h"
+#include "moves/settled_calls.h"
 #include "moves/step_schedule.h"
 
 #include <algorithm>
@@ -17,6 +18,8 @@
 constexpr double pooled_weight = 0.5;
 // Half of each test's start weight is spread over the duration of the move.
 constexpr double spread_weight = 0.5;
+// Slow answers lengthen a step to at most this part of the move, so that all steps fit into it.
+constexpr int maximum_step_divisor = 8;
 
 } // namespace
 
@@ -28,6 +31,7 @@
 
     evidence_by_route observed;
     std::map<std::string, latency_edges, std::less<>> edges;
+    settled_calls new_calls;
     route_judgement all_routes;
     std::map<std::string, route_judgement, std::less<>> route_judgements;
     std::optional<wall_time> first_new_call_time;
@@ -38,6 +42,8 @@
     std::uint32_t step = 0;
     std::optional<wall_time> step_start;
     std::uint64_t new_calls_before_step = 0;
+    std::uint64_t settled_new_calls = 0;
+    bool is_step_judged = false;
 
     double threshold() const { return 1 / this->settings.false_alarm_rate; }
 
@@ -132,14 +138,39 @@
         if (!this->step_start || state.gate != this->step) {
             this->step = state.gate;
             this->step_start = now;
-            this->new_calls_before_step = pooled(this->observed).new_version.calls;
+            this->new_calls_before_step = sent_calls(pooled(this->observed).new_version);
         }
     }
 
+    // Time after which it is known of nearly each call to the new version whether it is slow.
+    microseconds decision_time() const {
+        microseconds longest{0};
+        for (auto const& [route, route_edges] : this->edges) {
+            longest = std::max(longest, route_edges.decision_time().value_or(microseconds(0)));
+        }
+        return longest;
+    }
+
+    void update_settled_calls(wall_time now) {
+        this->new_calls.add(now, sent_calls(pooled(this->observed).new_version));
+        this->settled_new_calls = this->new_calls.count(now - this->decision_time());
+    }
+
+    // The minimum duration of a step. The calls that it sends have to be judged before the next
+    // one, and a slow answer may take longer than the setting.
+    wall_time::duration minimum_step_time() const {
+        auto const longest = (this->plan.done_by - this->plan.start) / maximum_step_divisor;
+        auto const needed = std::min<wall_time::duration>(this->decision_time(), longest);
+        return std::max<wall_time::duration>(this->settings.minimum_step_time, needed);
+    }
+
+    // Counts the calls whose outcome has become known, whatever it is. Calls that have ended would
+    // be mostly the quick ones.
     bool has_enough_evidence(wall_time now) const {
-        auto const calls = pooled(this->observed).new_version.calls - this->new_calls_before_step;
-        return !this->is_warming_up && calls >= this->settings.minimum_calls_per_step &&
-               now >= *this->step_start + this->settings.minimum_step_time;
+        return !this->is_warming_up &&
+               this->settled_new_calls >=
+                   this->new_calls_before_step + this->settings.minimum_calls_per_step &&
+               now >= *this->step_start + this->minimum_step_time();
     }
 
     bool is_last_step(move_state const& state) const {
@@ -155,19 +186,34 @@
     // Whether the next step may be taken without enough evidence. The steps of a late move are at
     // least the minimum time apart, so that a bad version does not get all requests at once.
     bool is_overdue(wall_time now, std::size_t next) const {
-        bool const has_min_time = now >= *this->step_start + this->settings.minimum_step_time;
-        return now >= latest_step_time(this->plan, next) &&
-               (now <= this->plan.done_by || has_min_time);
+        bool const has_min_time = now >= *this->step_start + this->minimum_step_time();
+        return now >= this->latest_time(next) && (now <= this->plan.done_by || has_min_time);
+    }
+
+    wall_time latest_time(std::size_t step) const {
+        if (this->settings.completion_time.count() == 0) {
+            return latest_step_time(this->plan, step);
+        }
+        bool const is_last = step + 1 >= this->plan.ramp.size();
+        auto const earliest = this->plan.ramp[step].earliest;
+        auto const reserve = std::max<wall_time::duration>(this->settings.completion_time,
+                                                           this->minimum_step_time());
+        return is_last ? std::max(earliest, this->plan.done_by - reserve) : earliest;
+    }
+
+    bool is_holding(std::size_t next) const {
+        bool const is_last = next + 1 >= this->plan.ramp.size();
+        return this->e_value() >=
+               (is_last ? this->settings.last_hold_threshold : this->settings.hold_threshold);
     }
 
     bool may_raise(wall_time now, move_state const& state) const {
         std::size_t const next = std::size_t{state.gate} + 1;
         if (state.pause.paused || this->is_last_step(state) ||
-            now < this->plan.ramp[next].earliest ||
-            this->e_value() >= this->settings.hold_threshold) {
+            now < this->plan.ramp[next].earliest || this->is_holding(next)) {
             return false;
         }
-        return this->has_enough_evidence(now) || this->is_overdue(now, next);
+        return this->is_step_judged || this->is_overdue(now, next);
     }
 };
 
@@ -200,10 +246,12 @@
     }
     // Before the start, the old version's calls are recorded as the baseline.
     self.observe(now, totals);
+    self.update_settled_calls(now);
     if (now < self.plan.start) {
         return no_change{};
     }
     self.update_step(now, current);
+    self.is_step_judged = self.has_enough_evidence(now);
     if (self.e_value() >= self.threshold()) {
         self.decision = self.make_take_back(now);
         return *self.decision;
@@ -220,8 +268,9 @@
     return {value,
             self.threshold(),
             self.is_warming_up,
-            value >= self.settings.hold_threshold,
+            self.is_holding(std::size_t{self.step} + 1),
             self.all_routes.is_against_baseline(),
+            self.is_step_judged,
             pooled(self.observed)};
 }
 
--- a/libraries/moves/judge_summary.h
+++ b/libraries/moves/judge_summary.h
@@ -15,6 +15,9 @@
     /// Whether the old version has too few calls for a comparison, so that the new one is compared
     /// with the old version's earlier rates.
     bool is_against_baseline = false;
+    /// Whether the current step has lasted long enough and sent enough calls whose outcome is
+    /// known.
+    bool is_step_judged = false;
     route_evidence evidence;
 };
 
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -1,12 +1,12 @@
 #include "sidecar/rollout_steering.h"
 
 #include "core/log.h"
+#include "mesh/rollout_controller.h"
 #include "mesh/rollout_plan.h"
 #include "mesh/row_replica.h"
 #include "mesh/version_share.h"
 #include "moves/evidence_aggregator.h"
 #include "moves/evidence_report.h"
-#include "moves/judge.h"
 #include "platform/decoders.h"
 #include "sidecar/fleet_sync.h"
 #include "sidecar/rollout_channel.h"
@@ -35,8 +35,6 @@
 constexpr milliseconds short_period{80};
 constexpr double large_share = 0.2;
 constexpr milliseconds idle_period{500};
-// The judge divides its false-alarm rate by this number of routes of a service.
-constexpr std::size_t judged_routes = 8;
 
 } // namespace
 
@@ -46,8 +44,7 @@
     struct tracked_rollout {
         explicit tracked_rollout(rollout const& current) : aggregator(rollout_id(current)) {}
         evidence_aggregator aggregator;
-        std::optional<judge> rollout_judge;
-        std::optional<milliseconds> last_step_since;
+        std::optional<rollout_controller> controller;
         bool is_condemned = false;
         /// Whether a step or the completion is being written.
         bool is_step_pending = false;
@@ -293,15 +290,10 @@
             co_return;
         }
         auto& tracked = this->state_for(current);
-        if (!tracked.rollout_judge) {
-            tracked.rollout_judge.emplace(make_rollout_plan(current), this->instance, judged_routes,
-                                          rollout_judge_settings());
-        }
-        move_state state;
-        state.move = rollout_id(current);
-        state.gate = current.step;
-        auto const decided =
-            tracked.rollout_judge->assess(to_wall_time(*now), state, tracked.aggregator.totals());
+        if (!tracked.controller) {
+            tracked.controller.emplace(current, this->instance);
+        }
+        auto const decided = tracked.controller->decide(current, tracked.aggregator.totals(), *now);
         if (auto const* verdict = std::get_if<take_back>(&decided)) {
             log::write(log::level::warning, "rollout_condemned",
                        {{"service", current.service},
@@ -311,14 +303,33 @@
             co_await this->take_version_back(current);
             co_return;
         }
-        if (auto const* raise = std::get_if<step_raise>(&decided)) {
-            rollout next = current;
+        rollout next = current;
+        if (!std::holds_alternative<no_change>(decided) && !tracked.is_step_pending) {
+            this->log_evidence(current, tracked);
+        }
+        if (auto const* raise = std::get_if<rollout_step>(&decided)) {
             next.step = raise->step;
-            next.share = make_rollout_plan(current).ramp[raise->step].share;
+            next.share = raise->share;
+            this->start_step(std::move(next));
+        } else if (std::holds_alternative<rollout_completion>(decided)) {
+            next.phase = rollout_phase::complete;
             this->start_step(std::move(next));
-            co_return;
         }
-        this->complete_if_due(current, tracked, *now);
+    }
+
+    // What a step or the completion was decided on.
+    static void log_evidence(rollout const& current, tracked_rollout const& tracked) {
+        auto const summary = tracked.controller->summary();
+        auto const& seen = summary.evidence.new_version;
+        log::write(log::level::info, "rollout_evidence",
+                   {{"service", current.service},
+                    {"version", current.to},
+                    {"step", static_cast<std::int64_t>(current.step)},
+                    {"e_value", summary.e_value},
+                    {"is_step_judged", summary.is_step_judged},
+                    {"sent", static_cast<std::int64_t>(sent_calls(seen))},
+                    {"ended", static_cast<std::int64_t>(seen.calls)},
+                    {"failed", static_cast<std::int64_t>(seen.failures)}});
     }
 
     void begin(rollout next, milliseconds now) {
@@ -369,21 +380,6 @@
         return version_shares(found->second, &before).begin()->first;
     }
 
-    void complete_if_due(rollout const& current, tracked_rollout& tracked, milliseconds now) {
-        if (current.share < 1) {
-            return;
-        }
-        if (!tracked.last_step_since) {
-            tracked.last_step_since = now;
-        }
-        if (can_complete_rollout(current, *tracked.last_step_since, now) &&
-            !tracked.rollout_judge->summary().is_holding) {
-            rollout next = current;
-            next.phase = rollout_phase::complete;
-            this->start_step(std::move(next));
-        }
-    }
-
     // The operator's row and the nodes' row are written in one transaction.
     asio::awaitable<void> write(rollout next) {
         std::string const key = std::string(fleet_keys::rollout_prefix) + next.service;
--- a/tests/moves/judge_test.cpp
+++ b/tests/moves/judge_test.cpp
@@ -318,3 +318,31 @@
     }
     CHECK(is_back);
 }
+
+// Guards against a step that ends before a slow answer could arrive (review/4, EXPOSURE).
+TEST(judge, step_lasts_until_its_slow_answers_are_known) {
+    judge_settings settings;
+    settings.minimum_calls_per_step = 10;
+    settings.minimum_step_time = seconds(1);
+    auto plan = example_plan();
+    plan.ramp[2].earliest = plan.ramp[1].earliest;
+    judge decider(plan, "judge-a", 1, settings);
+    evidence_counter counter;
+    move_state state{plan.id, 0, {}, {}};
+    std::vector<wall_time> raises;
+    for (auto now = plan.ramp[1].earliest - seconds(60); raises.size() < 2 && now < plan.done_by;
+         now += milliseconds(100)) {
+        for (int call = 0; call < 20; ++call) {
+            auto const side = call == 0 ? target_side::new_version : target_side::old_version;
+            counter.record(
+                "r", {side, call_attempt::first, call_outcome::succeeded, milliseconds(4000), 20});
+        }
+        auto const decided = decider.assess(now, state, counter.counts());
+        if (auto const* raise = std::get_if<step_raise>(&decided)) {
+            state.gate = raise->step;
+            raises.push_back(now);
+        }
+    }
+    CHECK_EQUAL(2U, raises.size());
+    CHECK(raises[1] - raises[0] >= seconds(4));
+}
