mesh: derive shares from the requests that a bad version may get

What callers saw: with little traffic a slow version was complete before it had got requests to judge; a play of the users with 30 requests a second had 26 of them before all requests, where a bad version may get about 90.

Cause: the ramp had fixed shares. The deployment's limits, a share of the requests and a number on top, were read and used nowhere.

The steering node now knows both limits. The share of a step follows from the requests that are left, the rate of the service and the time until the next step, never below the plan's where that is affordable; 0.9 s and 36 requests are kept for a version that is bad only with all requests. A suspected version that has nearly used up its requests gets the smallest share until the suspicion ends or is confirmed.

--- a/libraries/mesh/rollout_controller.cpp
+++ b/libraries/mesh/rollout_controller.cpp
@@ -15,12 +15,20 @@
 // The judge divides its false-alarm rate by this number of routes of a service.
 constexpr std::size_t judged_routes = 8;
 
+rollout_traffic traffic_since_start(evidence_by_route const& totals, milliseconds elapsed) {
+    auto const sum = pooled(totals);
+    auto const sent = sent_calls(sum.old_version) + sent_calls(sum.new_version);
+    auto const time = std::max(1.0, std::chrono::duration<double>(elapsed).count());
+    return {static_cast<double>(sent) / time, sent_calls(sum.new_version)};
+}
+
 } // namespace
 
 class rollout_controller::implementation {
 public:
-    implementation(rollout const& current, std::string instance)
-        : rollout_judge(make_rollout_plan(current), std::move(instance), judged_routes,
+    implementation(rollout const& current, std::string instance, exposure_limits given_limits)
+        : limits(given_limits)
+        , rollout_judge(make_rollout_plan(current), std::move(instance), judged_routes,
                         rollout_judge_settings()) {}
 
     decision decide(rollout const& current, evidence_by_route const& totals, milliseconds now) {
@@ -32,14 +40,23 @@
             return *back;
         }
         if (auto const* raise = std::get_if<step_raise>(&verdict)) {
-            return rollout_step{raise->step, make_rollout_plan(current).ramp[raise->step].share};
+            rollout next = current;
+            next.step = raise->step;
+            auto const seen = traffic_since_start(totals, now - current.started);
+            return rollout_step{next.step, step_share(next, seen, this->limits)};
         }
         if (this->is_complete(current, now)) {
             return rollout_completion{};
         }
+        auto const seen = traffic_since_start(totals, now - current.started);
+        if (this->rollout_judge.summary().is_holding &&
+            is_exposure_used_up(current, seen, this->limits)) {
+            return step_back(current);
+        }
         return no_change{};
     }
 
+    exposure_limits limits;
     judge rollout_judge;
     std::optional<milliseconds> last_step_since;
 
@@ -58,8 +75,9 @@
     }
 };
 
-rollout_controller::rollout_controller(rollout const& current, std::string instance)
-    : self(std::make_unique<implementation>(current, std::move(instance))) {}
+rollout_controller::rollout_controller(rollout const& current, std::string instance,
+                                       exposure_limits limits)
+    : self(std::make_unique<implementation>(current, std::move(instance), limits)) {}
 rollout_controller::~rollout_controller() = default;
 rollout_controller::rollout_controller(rollout_controller&&) noexcept = default;
 rollout_controller& rollout_controller::operator=(rollout_controller&&) noexcept = default;
--- a/libraries/mesh/rollout_controller.h
+++ b/libraries/mesh/rollout_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "mesh/exposure_limits.h"
 #include "mesh/rollout.h"
 #include "mesh/rollout_completion.h"
 #include "mesh/rollout_step.h"
@@ -24,7 +25,7 @@
 class rollout_controller {
 public:
     /// The instance name identifies the judge in a take-back.
-    rollout_controller(rollout const& current, std::string instance);
+    rollout_controller(rollout const& current, std::string instance, exposure_limits limits);
     ~rollout_controller();
     rollout_controller(rollout_controller&&) noexcept;
     rollout_controller& operator=(rollout_controller&&) noexcept;
--- a/libraries/mesh/rollout_plan.cpp
+++ b/libraries/mesh/rollout_plan.cpp
@@ -29,10 +29,37 @@
 constexpr milliseconds min_completion_time{1500};
 // Time before the deadline at which the completion is written at the latest.
 constexpr milliseconds completion_write_time{600};
+// A version that is bad only with all requests gets this many, and those of this time, until it is
+// taken back: its first answers, their report and the verdict take time, and the verdict takes some
+// answers.
+constexpr double last_step_requests = 36;
+constexpr std::chrono::duration<double> last_step_reaction{0.9};
+// Time from the decision to change a share until no request is sent by the old one.
+constexpr std::chrono::duration<double> share_change_time{0.4};
+// Requests that are kept free for those that are not reported yet.
+constexpr double exposure_margin = 8;
+// Typical time until it is known whether a request is slow, and until that is reported.
+constexpr std::chrono::duration<double> expected_decision_time{1.2};
+// Largest share of a step before the last one. The old version has to remain comparable.
+constexpr double max_partial_share = 0.5;
+// Part of the requests that a bad version may still get that the step before the second to last one
+// may use.
+constexpr double earlier_step_part = 0.35;
+// Fraction of the duration after which the last step is taken at the latest, if answers are quick.
+constexpr double latest_last_step = 0.85;
+
 milliseconds fraction_of(milliseconds time, double fraction) {
     return milliseconds(std::llround(static_cast<double>(time.count()) * fraction));
 }
 
+// The requests that a bad version may still get.
+double remaining_exposure(rollout const& current, rollout_traffic const& seen,
+                          exposure_limits const& limits) {
+    double const time = std::chrono::duration<double>(current.duration).count();
+    double const allowed = limits.share * seen.requests_per_second * time + limits.extra_requests;
+    return allowed - static_cast<double>(seen.sent_to_new_version);
+}
+
 } // namespace
 
 std::string rollout_id(rollout const& current) {
@@ -53,6 +80,43 @@
     return plan;
 }
 
+double step_share(rollout const& next, rollout_traffic const& seen, exposure_limits const& limits) {
+    auto const& step = steps.at(next.step);
+    double const rate = seen.requests_per_second;
+    if (step.share >= 1 || rate <= 0) {
+        return step.share;
+    }
+    double const last_step = rate * last_step_reaction.count() + last_step_requests;
+    double const left = remaining_exposure(next, seen, limits) - last_step;
+    double const time = std::chrono::duration<double>(next.duration).count();
+    bool const is_before_last = next.step + 2 == steps.size();
+    if (!is_before_last) {
+        double const requests =
+            rate * time * (steps.at(next.step + 1).time_fraction - step.time_fraction);
+        return std::clamp(left * earlier_step_part / requests, step.share, max_partial_share);
+    }
+    // The last step waits for evidence, so the time until then depends on the share.
+    double const latest = time * (latest_last_step - step.time_fraction);
+    double const expected = std::min(latest, minimum_calls_per_step / (rate * step.share) +
+                                                 expected_decision_time.count());
+    double const affordable = std::min(step.share, left / (rate * expected));
+    return std::clamp(std::max(affordable, left / (rate * latest)), steps.at(next.step - 1).share,
+                      max_partial_share);
+}
+
+bool is_exposure_used_up(rollout const& current, rollout_traffic const& seen,
+                         exposure_limits const& limits) {
+    double const until_in_force =
+        seen.requests_per_second * current.share * share_change_time.count();
+    bool const is_partial = current.share > steps.front().share && current.share < 1;
+    return is_partial &&
+           remaining_exposure(current, seen, limits) <= until_in_force + exposure_margin;
+}
+
+rollout_step step_back(rollout const& current) {
+    return {current.step, steps.front().share};
+}
+
 judge_settings rollout_judge_settings() {
     judge_settings settings;
     settings.warm_up_divisor = warm_up_divisor;
--- a/libraries/mesh/rollout_plan.h
+++ b/libraries/mesh/rollout_plan.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "core/time.h"
+#include "mesh/exposure_limits.h"
 #include "mesh/rollout.h"
+#include "mesh/rollout_step.h"
+#include "mesh/rollout_traffic.h"
 #include "moves/judge_settings.h"
 #include "moves/move_plan.h"
 
@@ -20,6 +23,21 @@
 /// detect a bad version or to complete in time.
 move_plan make_rollout_plan(rollout const& current);
 
+/// Returns the share of the given roll-out's step. With little traffic, the requests that a bad
+/// version may get are many compared with those of a second: larger shares then give the judge more
+/// of them before the last step. With much traffic the shares are those of the plan.
+double step_share(rollout const& next, rollout_traffic const& seen, exposure_limits const& limits);
+
+/// Whether the new version gets only a share, and has to get less from now on if it turns out bad.
+/// The last step is not taken back without a verdict: the old version's few calls after that would
+/// be compared with many earlier ones of the new version.
+bool is_exposure_used_up(rollout const& current, rollout_traffic const& seen,
+                         exposure_limits const& limits);
+
+/// The decision to send the new version the smallest share in the current step. It continues to be
+/// judged, and the next step is taken when it is no longer suspected.
+rollout_step step_back(rollout const& current);
+
 /// Settings of the judge for rollouts.
 judge_settings rollout_judge_settings();
 
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -53,13 +53,15 @@
 
     implementation(asio::io_context& io, connection_pool& pool, fleet_sync& sync,
                    rcu_cell<fleet_view> const& fleet_views, std::string own_instance,
-                   std::string own_service, std::uint16_t control_port, callbacks given_handlers)
+                   std::string own_service, std::uint16_t control_port, exposure_limits exposure,
+                   callbacks given_handlers)
         : context(io)
         , channel(pool, control_port)
         , fleet(sync)
         , views(fleet_views)
         , instance(std::move(own_instance))
         , service(std::move(own_service))
+        , limits(exposure)
         , handlers(std::move(given_handlers))
         , incarnation(static_cast<std::uint64_t>(
               std::chrono::system_clock::now().time_since_epoch().count())) {}
@@ -291,7 +293,7 @@
         }
         auto& tracked = this->state_for(current);
         if (!tracked.controller) {
-            tracked.controller.emplace(current, this->instance);
+            tracked.controller.emplace(current, this->instance, this->limits);
         }
         auto const decided = tracked.controller->decide(current, tracked.aggregator.totals(), *now);
         if (auto const* verdict = std::get_if<take_back>(&decided)) {
@@ -417,6 +419,7 @@
     rcu_cell<fleet_view> const& views;
     std::string instance;
     std::string service;
+    exposure_limits limits;
     callbacks handlers;
     std::uint64_t incarnation;
     /// The version that the gate refuses; empty for none.
@@ -431,9 +434,10 @@
 rollout_steering::rollout_steering(asio::io_context& context, connection_pool& connections,
                                    fleet_sync& fleet, rcu_cell<fleet_view> const& views,
                                    std::string instance, std::string service, std::uint16_t port,
-                                   callbacks handlers)
+                                   exposure_limits limits, callbacks handlers)
     : self(std::make_shared<implementation>(context, connections, fleet, views, std::move(instance),
-                                            std::move(service), port, std::move(handlers))) {}
+                                            std::move(service), port, limits,
+                                            std::move(handlers))) {}
 
 rollout_steering::~rollout_steering() = default;
 
--- a/libraries/sidecar/rollout_steering.h
+++ b/libraries/sidecar/rollout_steering.h
@@ -3,6 +3,7 @@
 #include "core/rcu_cell.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
+#include "mesh/exposure_limits.h"
 #include "mesh/fleet_view.h"
 #include "moves/route_evidence.h"
 
@@ -43,7 +44,8 @@
 
     rollout_steering(boost::asio::io_context& context, connection_pool& connections,
                      fleet_sync& fleet, rcu_cell<fleet_view> const& views, std::string instance,
-                     std::string service, std::uint16_t port, callbacks handlers);
+                     std::string service, std::uint16_t port, exposure_limits limits,
+                     callbacks handlers);
     ~rollout_steering();
     rollout_steering(rollout_steering const&) = delete;
     rollout_steering& operator=(rollout_steering const&) = delete;
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -100,7 +100,9 @@
                             return this->apply_target(std::move(target));
                         })
         , steering(control_context, control_connections, fleet, views, initial.instance,
-                   initial.service, initial.control_port, make_steering_callbacks())
+                   initial.service, initial.control_port,
+                   {this->bounds.exposure_share, this->bounds.exposure_extra},
+                   make_steering_callbacks())
         , caller_server(
               data_context,
               [this](http_request request) { return this->respond_to_caller(std::move(request)); },
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -308,6 +308,36 @@
     }
 }
 
+// Guards against a ramp that sends a service with little traffic too few requests to judge,
+// although a bad version may get several times as many.
+TEST(rollout_plan, shares_follow_from_the_requests_that_a_bad_version_may_get) {
+    exposure_limits const limits{0.1, 50};
+    current.step = 1;
+    double const with_little_traffic = step_share(current, {30, 3}, limits);
+    double const with_much_traffic = step_share(current, {5000, 400}, limits);
+    auto const plan = make_rollout_plan(current);
+    CHECK(with_little_traffic > plan.ramp[1].share);
+    DOUBLES_EQUAL(plan.ramp[1].share, with_much_traffic, 0.1);
+    CHECK(step_share(current, {30, 80}, limits) == plan.ramp[1].share);
+    current.step = 3;
+    DOUBLES_EQUAL(1.0, step_share(current, {30, 40}, limits), 0);
+}
+
+// Guards against a suspected version that keeps its share until it has got more requests than a bad
+// one may get (review/4, seed 3: 187 of 185).
+TEST(rollout_plan, suspected_version_does_not_use_up_its_requests) {
+    exposure_limits const limits{0.1, 50};
+    current.step = 2;
+    current.share = 0.25;
+    CHECK_FALSE(is_exposure_used_up(current, {85, 100}, limits));
+    CHECK(is_exposure_used_up(current, {85, 172}, limits));
+    current.share = step_back(current).share;
+    CHECK_FALSE(is_exposure_used_up(current, {85, 172}, limits));
+    CHECK(step_back(current).step == current.step);
+    current.share = 1;
+    CHECK_FALSE(is_exposure_used_up(current, {85, 172}, limits));
+}
+
 // Guards against a bad version that keeps all requests because the judge stops at the deadline
 // while the roll-out cannot be completed (kcg-mesh, EXPOSURE).
 TEST(rollout_plan, roll_out_is_judged_until_its_phase_ends) {
--- a/tests/sidecar/rollout_simulation.cpp
+++ b/tests/sidecar/rollout_simulation.cpp
@@ -1,6 +1,7 @@
 #include "rollout_simulation.h"
 
 #include "core/random_source.h"
+#include "mesh/exposure_limits.h"
 #include "mesh/rollout_controller.h"
 #include "mesh/rollout_plan.h"
 #include "sidecar/request_observer.h"
@@ -23,6 +24,7 @@
 // A roll-out that is late is played on for this long.
 constexpr seconds overtime{6};
 constexpr double sigma = 0.5;
+constexpr exposure_limits limits{0.1, 50};
 
 class simulation {
 public:
@@ -30,7 +32,7 @@
         this->current = {"deposits", "v2", "v1",   given.duration, 3, rollout_phase::running,
                          0,          0.02, started};
         this->observer.set_rollout(rollout_id(this->current));
-        this->controller.emplace(this->current, "instance-1");
+        this->controller.emplace(this->current, "instance-1", limits);
     }
 
     simulated_outcome run() {
