moves: compare new calls with the newest old ones

Cause: old calls wait in a queue for the next new call, and the oldest were taken first. With few new calls up to 200 of them wait, two seconds at that rate, so slow new calls were compared with quick old ones from before. At the last step the comparison is with a baseline of all old calls, in which the last, slow ones disappear.

--- a/libraries/moves/judge.cpp
+++ b/libraries/moves/judge.cpp
@@ -213,7 +213,11 @@
             now < this->plan.ramp[next].earliest || this->is_holding(next)) {
             return false;
         }
-        return this->is_step_judged || this->is_overdue(now, next);
+        // After the last step the old version gets no more calls that would show the same
+        // disturbance.
+        bool const waits_for_calm =
+            next + 1 >= this->plan.ramp.size() && this->all_routes.is_disturbed();
+        return (this->is_step_judged && !waits_for_calm) || this->is_overdue(now, next);
     }
 };
 
--- a/libraries/moves/rate_comparison.h
+++ b/libraries/moves/rate_comparison.h
@@ -34,6 +34,9 @@
     }
     event_sample new_sample() const { return this->new_since_rise; }
 
+    /// Whether the old version's rate is much higher at present than usual.
+    bool is_disturbed() const { return this->reference.is_disturbed(); }
+
     /// Whether the last block was compared with the baseline of earlier calls.
     bool is_against_baseline() const { return this->baseline_used; }
 
--- a/libraries/moves/reference_rate.h
+++ b/libraries/moves/reference_rate.h
@@ -19,8 +19,9 @@
     /// The recent rate, which is greater than 0 and less than 1.
     double recent() const;
 
-    /// The highest rate of a window so far, or the recent rate if that is higher. It accounts for
-    /// dependencies that fail intermittently.
+    /// The highest of the rate of any window so far, the recent rate and the rate of the latest
+    /// calls. It accounts for dependencies that fail intermittently, also for one that had begun to
+    /// fail when the old version got its last calls.
     double highest() const;
 
     /// The calls of the window with the highest rate, or of the first window until it is complete.
@@ -28,13 +29,21 @@
         return this->highest_window.calls > 0 ? this->highest_window : this->window;
     }
 
+    /// Whether the latest calls have a much higher rate than the recent ones.
+    bool is_disturbed() const;
+
     /// Whether there were enough calls to judge the new version without concurrent old calls.
     bool is_usable() const { return this->observed_calls >= minimum_calls; }
 
 private:
+    double latest() const;
+
     std::uint64_t observed_calls = 0;
     double recent_calls = 0;
     double recent_events = 0;
+    /// Calls and events with an exponential decay over few calls.
+    double latest_calls = 0;
+    double latest_events = 0;
     event_sample window;
     event_sample highest_window;
 };
--- a/libraries/moves/route_judgement.cpp
+++ b/libraries/moves/route_judgement.cpp
@@ -70,6 +70,13 @@
     return tests;
 }
 
+bool route_judgement::is_disturbed() const {
+    return this->failures.is_disturbed() ||
+           std::ranges::any_of(this->quantiles, [](rate_comparison const& quantile) {
+               return quantile.is_disturbed();
+           });
+}
+
 take_back route_judgement::make_take_back() const {
     auto const tests = this->weighted_tests();
     auto const strongest =
--- a/libraries/moves/route_judgement.h
+++ b/libraries/moves/route_judgement.h
@@ -28,6 +28,9 @@
     /// e-value. The time, setter and route are not set.
     take_back make_take_back() const;
 
+    /// Whether the old version fails or is slow much more often at present than usual.
+    bool is_disturbed() const;
+
     /// Whether the failures were last compared with the baseline of earlier calls.
     bool is_against_baseline() const { return this->failures.is_against_baseline(); }
 
--- a/libraries/moves/unpaired_calls.cpp
+++ b/libraries/moves/unpaired_calls.cpp
@@ -42,25 +42,28 @@
         static_cast<std::uint64_t>(std::ceil(old_per_new * static_cast<double>(new_calls)));
     event_sample taken;
     while (!this->samples.empty() && taken.calls < requested_calls) {
-        taken += this->take_from_front(requested_calls - taken.calls);
+        taken += this->take_from_back(requested_calls - taken.calls);
     }
     return taken;
 }
 
 // A report may contain many calls. The calls to remove are selected at random, so that events are
 // equally likely among the removed and the remaining calls, as the test assumes.
-event_sample unpaired_calls::take_from_front(std::uint64_t requested_calls) {
-    auto& first = this->samples.front();
-    if (first.calls <= requested_calls) {
-        return this->pop();
+event_sample unpaired_calls::take_from_back(std::uint64_t requested_calls) {
+    auto& last = this->samples.back();
+    event_sample part = last;
+    if (last.calls <= requested_calls) {
+        this->samples.pop_back();
+        this->total -= part.calls;
+        return part;
     }
-    event_sample part;
+    part = {};
     for (; part.calls < requested_calls; ++part.calls) {
-        std::uniform_int_distribution<std::uint64_t> call(1, first.calls);
-        bool const is_event = call(this->random) <= first.events;
+        std::uniform_int_distribution<std::uint64_t> call(1, last.calls);
+        bool const is_event = call(this->random) <= last.events;
         part.events += is_event ? 1 : 0;
-        first.events -= is_event ? 1 : 0;
-        --first.calls;
+        last.events -= is_event ? 1 : 0;
+        --last.calls;
     }
     this->total -= part.calls;
     return part;
--- a/libraries/moves/unpaired_calls.h
+++ b/libraries/moves/unpaired_calls.h
@@ -36,7 +36,7 @@
 
 private:
     event_sample pop();
-    event_sample take_from_front(std::uint64_t requested_calls);
+    event_sample take_from_back(std::uint64_t requested_calls);
 
     std::deque<event_sample> samples;
     std::uint64_t total = 0;
--- a/tests/sidecar/rollout_exposure_test.cpp
+++ b/tests/sidecar/rollout_exposure_test.cpp
@@ -142,3 +142,13 @@
     given.cold_slowness = 4;
     check_is_completed();
 }
+
+// Guards against a comparison with old calls of an earlier time: a dependency that is slow for a
+// while condemned good versions whose latest calls were compared with calls of two seconds before.
+TEST(rollout_exposure, good_version_with_a_slow_dependency_is_completed_in_time) {
+    given.dependency_slowness = 3;
+    check_is_completed();
+    given.leaving_share = 0.5;
+    given.leaves_after = milliseconds(400);
+    check_is_completed();
+}
