--- a/libraries/mesh/rollout_controller.cpp
+++ b/libraries/mesh/rollout_controller.cpp
@@ -39,16 +39,15 @@
         if (auto const* back = std::get_if<take_back>(&verdict)) {
             return *back;
         }
+        auto const seen = traffic_since_start(totals, now - current.started);
         if (auto const* raise = std::get_if<step_raise>(&verdict)) {
             rollout next = current;
             next.step = raise->step;
-            auto const seen = traffic_since_start(totals, now - current.started);
             return rollout_step{next.step, step_share(next, seen, this->limits)};
         }
         if (this->is_complete(current, now)) {
             return rollout_completion{};
         }
-        auto const seen = traffic_since_start(totals, now - current.started);
         if (this->rollout_judge.summary().is_holding &&
             is_exposure_used_up(current, seen, this->limits)) {
             return step_back(current);
@@ -56,9 +55,7 @@
         return no_change{};
     }
 
-    exposure_limits limits;
-    judge rollout_judge;
-    std::optional<milliseconds> last_step_since;
+    judge_summary summary() const { return this->rollout_judge.summary(); }
 
 private:
     bool is_complete(rollout const& current, milliseconds now) {
@@ -73,6 +70,10 @@
         return is_judged && !summary.is_holding &&
                can_complete_rollout(current, *this->last_step_since, now);
     }
+
+    exposure_limits limits;
+    judge rollout_judge;
+    std::optional<milliseconds> last_step_since;
 };
 
 rollout_controller::rollout_controller(rollout const& current, std::string instance,
@@ -89,7 +90,7 @@
 }
 
 judge_summary rollout_controller::summary() const {
-    return this->self->rollout_judge.summary();
+    return this->self->summary();
 }
 
 } // namespace peridot
--- a/libraries/mesh/rollout_plan.cpp
+++ b/libraries/mesh/rollout_plan.cpp
@@ -60,6 +60,28 @@
     return allowed - static_cast<double>(seen.sent_to_new_version);
 }
 
+// The share of a step that the next one follows at its time. The arguments are requests per second
+// to all versions, and those that the new version may get before the last step.
+double share_before_timed_step(rollout const& next, double rate, double left) {
+    auto const& step = steps.at(next.step);
+    double const fraction = steps.at(next.step + 1).time_fraction - step.time_fraction;
+    double const requests = rate * fraction * std::chrono::duration<double>(next.duration).count();
+    return std::clamp(left * earlier_step_part / requests, step.share, max_partial_share);
+}
+
+// The same for the step before the last one, which waits for evidence: the time until then depends
+// on the share.
+double share_before_last_step(rollout const& next, double rate, double left) {
+    auto const& step = steps.at(next.step);
+    double const latest = (latest_last_step - step.time_fraction) *
+                          std::chrono::duration<double>(next.duration).count();
+    double const expected = std::min(latest, minimum_calls_per_step / (rate * step.share) +
+                                                 expected_decision_time.count());
+    double const affordable = std::min(step.share, left / (rate * expected));
+    return std::clamp(std::max(affordable, left / (rate * latest)), steps.at(next.step - 1).share,
+                      max_partial_share);
+}
+
 } // namespace
 
 std::string rollout_id(rollout const& current) {
@@ -81,27 +103,16 @@
 }
 
 double step_share(rollout const& next, rollout_traffic const& seen, exposure_limits const& limits) {
-    auto const& step = steps.at(next.step);
+    double const planned = steps.at(next.step).share;
     double const rate = seen.requests_per_second;
-    if (step.share >= 1 || rate <= 0) {
-        return step.share;
+    if (planned >= 1 || rate <= 0) {
+        return planned;
     }
     double const last_step = rate * last_step_reaction.count() + last_step_requests;
     double const left = remaining_exposure(next, seen, limits) - last_step;
-    double const time = std::chrono::duration<double>(next.duration).count();
     bool const is_before_last = next.step + 2 == steps.size();
-    if (!is_before_last) {
-        double const requests =
-            rate * time * (steps.at(next.step + 1).time_fraction - step.time_fraction);
-        return std::clamp(left * earlier_step_part / requests, step.share, max_partial_share);
-    }
-    // The last step waits for evidence, so the time until then depends on the share.
-    double const latest = time * (latest_last_step - step.time_fraction);
-    double const expected = std::min(latest, minimum_calls_per_step / (rate * step.share) +
-                                                 expected_decision_time.count());
-    double const affordable = std::min(step.share, left / (rate * expected));
-    return std::clamp(std::max(affordable, left / (rate * latest)), steps.at(next.step - 1).share,
-                      max_partial_share);
+    return is_before_last ? share_before_last_step(next, rate, left)
+                          : share_before_timed_step(next, rate, left);
 }
 
 bool is_exposure_used_up(rollout const& current, rollout_traffic const& seen,
