sidecar: log the own wait of a refused request and its earlier refusals

The logs could not tell an unfair order of the queue from offers wasted at dead targets or from a wrong service time: gate_refused named the wait of the whole queue, and request_not_answered named the last refusal, which was request_connect_failed of a dead target although the target in service had refused the request for load before.

gate_refused now has priority, soft_deadline_ms and own_wait_ms, the wait that the decision was made with. request_not_answered has offers_overloaded and offers_unavailable.

--- a/libraries/mesh/gate_decision.h
+++ b/libraries/mesh/gate_decision.h
@@ -20,8 +20,10 @@
     result_code reason = result_code::request_overloaded;
     /// Delay after which a retry is likely to be served in time.
     milliseconds retry_after{0};
+    /// Time for which the request would have waited for a slot; zero unless it is refused for load.
+    milliseconds expected_wait{0};
     /// The current target of the node, if the request was addressed to a different one.
-    std::optional<target_record> actual_target;
+    std::optional<target_record> actual_target = std::nullopt;
 };
 
 /// Decision of the gate on a new request.
--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -201,7 +201,8 @@
 
     static gate_refusal overload_refusal(nanoseconds wait) {
         return {result_code::request_overloaded,
-                std::clamp(to_milliseconds(wait) / 2, min_retry_after, max_retry_after)};
+                std::clamp(to_milliseconds(wait) / 2, min_retry_after, max_retry_after),
+                to_milliseconds(wait)};
     }
 
     // Whether the request could still be running when the node stops.
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -122,6 +122,8 @@
              {"status", static_cast<std::int64_t>(answer.status)},
              {"reason", std::string(name(placement.reason))},
              {"offers", static_cast<std::int64_t>(placement.offers)},
+             {"offers_overloaded", static_cast<std::int64_t>(placement.overloaded_offers)},
+             {"offers_unavailable", static_cast<std::int64_t>(placement.unavailable_offers)},
              {"sends", static_cast<std::int64_t>(placement.sends)},
              {"held_ms", held.count()},
              {"configuration", static_cast<std::int64_t>(placement.configuration->version())}});
@@ -325,6 +327,7 @@
         placement.reason = refused.reason;
         switch (refused.reason) {
         case result_code::request_overloaded:
+            ++placement.overloaded_offers;
             this->observe(chosen, target_observation::busy);
             if (limit == wait_limit::target_latency) {
                 placement.attempts.busy.insert(chosen.instance);
@@ -343,6 +346,7 @@
             }
             [[fallthrough]];
         default:
+            ++placement.unavailable_offers;
             this->observe(chosen, target_observation::draining);
             placement.attempts.excluded.insert(chosen.instance);
             break;
@@ -382,6 +386,7 @@
     std::optional<http_response> handle_outcome(gate_unreachable const& /*unreachable*/,
                                                 member const& chosen, wait_limit /*limit*/,
                                                 request_placement& placement) {
+        ++placement.unavailable_offers;
         this->observe(chosen, target_observation::unreachable);
         placement.attempts.excluded.insert(chosen.instance);
         return std::nullopt;
--- a/libraries/sidecar/hop_message.cpp
+++ b/libraries/sidecar/hop_message.cpp
@@ -263,7 +263,7 @@
     case outcome::target_refusal:
         return {gate_target_refusal{std::move(answer)}, state};
     case outcome::refusal:
-        return {gate_refusal{code, read_retry_after(parts), decode_target(answer.body)}, state};
+        return {gate_refusal{code, read_retry_after(parts), {}, decode_target(answer.body)}, state};
     case outcome::unknown:
         break;
     }
--- a/libraries/sidecar/request_placement.h
+++ b/libraries/sidecar/request_placement.h
@@ -35,6 +35,10 @@
     unsigned offers = 0;
     /// Number of offers that only returned the record of a newer target.
     unsigned corrections = 0;
+    /// Number of offers that were refused for load, and of those that failed because the target
+    /// could not be reached or was out of service.
+    unsigned overloaded_offers = 0;
+    unsigned unavailable_offers = 0;
     /// Number of times that the request reached a target.
     unsigned sends = 0;
     bool may_have_run = false;
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -191,7 +191,7 @@
             return gate_refusal{result_code::request_version_blocked, {}};
         }
         if (this->target->id != call.target_id) {
-            return gate_refusal{result_code::request_misdirected, {}, this->target};
+            return gate_refusal{result_code::request_misdirected, {}, {}, this->target};
         }
         if (boot_clock::now() >= call.deadline) {
             return gate_refusal{result_code::request_deadline_exceeded, {}};
@@ -396,8 +396,11 @@
                     {"in_use", static_cast<std::int64_t>(current.in_use)},
                     {"waiting", static_cast<std::int64_t>(current.waiting)},
                     {"slots", static_cast<std::int64_t>(current.slots)},
+                    {"priority", static_cast<std::int64_t>(call.priority)},
                     {"expected_wait_ms", current.expected_wait.count()},
+                    {"own_wait_ms", refused.expected_wait.count()},
                     {"service_time_ms", current.service_time.count()},
+                    {"soft_deadline_ms", time_left_ms(call.soft_deadline)},
                     {"finish_by_ms", time_left_ms(call.finish_by)},
                     {"deadline_ms", time_left_ms(call.deadline)},
                     {"retry_after_ms", refused.retry_after.count()}});
--- a/tests/mesh/gate_queue_test.cpp
+++ b/tests/mesh/gate_queue_test.cpp
@@ -72,6 +72,21 @@
     CHECK(std::get<gate_refusal>(refused).retry_after > milliseconds(0));
 }
 
+// Guards against a refusal that does not tell why: the wait of the whole queue is not that of a
+// request that goes ahead of most of it.
+TEST(gate_queue, refusal_states_the_wait_of_the_request_itself) {
+    queue.set_slots(1);
+    record_service_time("a", milliseconds(100), begin);
+    CHECK(is_started(queue.offer(request(1001, "a", begin, seconds(9), seconds(9)), begin)));
+    CHECK(is_waiting(queue.offer(request(1002, "a", begin, milliseconds(500), seconds(9)), begin)));
+    CHECK(is_waiting(queue.offer(request(1003, "a", begin, seconds(5), seconds(9)), begin)));
+    auto const decision =
+        queue.offer(request(1004, "a", begin, milliseconds(900), milliseconds(250)), begin);
+    CHECK(is_refused(decision));
+    CHECK(std::get<gate_refusal>(decision).expected_wait == milliseconds(200));
+    CHECK(queue.load("a", begin).expected_wait == milliseconds(300));
+}
+
 // Guards against a fast route that is refused permanently after a restart: its service time was
 // estimated from slow routes, so every request of it seemed too late and none was ever measured.
 TEST(gate_queue, unmeasured_route_does_not_use_the_time_of_other_routes) {
