mesh: reserve slot time for routes with few requests

Cause: the queue of a target was sorted by soft deadline alone. Under lasting overload there is always a newer request of the frequent route that loses its value earlier, and the admission counted the whole queue as ahead: on added routes the own wait in gate_refused equalled that of the queue (741 to 1137 ms) with 805 to 979 ms left, at the highest priority. A route whose requests take longer than those of the frequent one, or that cannot meet its target latency, counted as late before its turn and was starved as well.

An eighth of the slot time now goes first to the routes that use least of it. What they do not use goes to the others, and they take no more than the slot time that they need, so the frequent route loses only that. A request that is unlikely to be answered by its deadline claims single trials only.

--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -1,9 +1,11 @@
 #include "mesh/gate_queue.h"
 
 #include "mesh/request_pacer.h"
+#include "mesh/route_usage.h"
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <queue>
@@ -31,6 +33,15 @@
 constexpr milliseconds priority_step{100};
 constexpr milliseconds min_retry_after{50};
 constexpr milliseconds max_retry_after{2000};
+// Fraction of the slot time that is reserved for the routes that use least of it. Within it their
+// requests go first, whatever their priority and deadlines.
+constexpr double reserved_share = 0.125;
+// The same for requests that are unlikely to be answered by their deadline: one of them goes first
+// once the route's usage has decayed below this, so that its service time is measured again.
+constexpr double trial_share = 0.002;
+// A request is unlikely to be answered by its deadline if the mean service time of its route is
+// above this fraction of the remaining time.
+constexpr double likely_fraction = 0.8;
 // While the node is stopping, a request is sent to the target only if it completes in time even
 // when it takes this many times as long as most requests of its route.
 constexpr int stop_safety_factor = 4;
@@ -64,14 +75,74 @@
         boot_time started;
     };
 
-    // Order in which queued requests get slots: requests that can be answered by their soft
-    // deadline come first, and each group is sorted by soft deadline.
+    // Rank among the queued requests: requests that can be answered by their soft deadline come
+    // first, and each group is sorted by soft deadline.
     std::pair<bool, boot_time> rank(gate_request const& request, boot_time now) const {
         bool const is_late =
             now + this->conservative_service_time(request.route) > request.soft_deadline;
         return {is_late, request.soft_deadline + request.priority * priority_step};
     }
 
+    // Usage of the slots including the running requests.
+    route_usage current_usage(boot_time now) const {
+        auto usage = this->finished_usage;
+        usage.decay(now);
+        for (auto const& [id, request] : this->running) {
+            usage.add(request.route, std::max<nanoseconds>(this->mean_service_time(request.route),
+                                                           now - request.started));
+        }
+        return usage;
+    }
+
+    // Share of the slot time within which a request goes ahead of those of other routes.
+    double claimed_share(gate_request const& request, boot_time now) const {
+        bool const is_likely_answered = this->mean_service_time(request.route) <=
+                                        fraction_of(request.deadline - now, likely_fraction);
+        return is_likely_answered ? reserved_share : trial_share;
+    }
+
+    struct ranked_request {
+        std::pair<bool, boot_time> rank;
+        /// Index in the queue.
+        std::size_t position = 0;
+        bool is_reserved = false;
+    };
+
+    std::vector<ranked_request> ranked_requests(boot_time now) const {
+        std::vector<ranked_request> ranked;
+        for (std::size_t position = 0; position < this->queue.size(); ++position) {
+            ranked.push_back({this->rank(this->queue[position], now), position});
+        }
+        std::ranges::stable_sort(ranked, {}, &ranked_request::rank);
+        return ranked;
+    }
+
+    // Marks the requests within the reserved share, each on the assumption that those marked before
+    // it have run.
+    void mark_reserved(std::vector<ranked_request>& ranked, boot_time now) const {
+        auto usage = this->current_usage(now);
+        for (auto& entry : ranked) {
+            auto const& request = this->queue[entry.position];
+            entry.is_reserved =
+                usage.is_within_share(request.route, this->claimed_share(request, now));
+            if (entry.is_reserved) {
+                usage.add(request.route, this->mean_service_time(request.route));
+            }
+        }
+    }
+
+    // Positions in the queue in the order in which the requests get slots: those within the
+    // reserved share come first, and each group is sorted by rank.
+    std::vector<std::size_t> service_order(boot_time now) const {
+        auto ranked = this->ranked_requests(now);
+        this->mark_reserved(ranked, now);
+        std::stable_partition(ranked.begin(), ranked.end(),
+                              [](ranked_request const& entry) { return entry.is_reserved; });
+        std::vector<std::size_t> order;
+        std::ranges::transform(ranked, std::back_inserter(order), &ranked_request::position);
+        return order;
+    }
+
     static nanoseconds fraction_of(nanoseconds time, double fraction) {
         return nanoseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * fraction));
     }
@@ -170,15 +241,16 @@
         return forecast;
     }
 
-    // Expected time at which the request starts. Requests with a later rank do not affect it.
-    boot_time expected_start(gate_request const& request, boot_time now) const {
+    // Expected time at which the newest request in the queue starts. Requests that get slots after
+    // it do not affect it.
+    boot_time expected_start_of_newest(boot_time now) const {
         auto forecast = this->forecast_starts(now);
-        auto const own_rank = this->rank(request, now);
-        for (auto const& waiting : this->queue) {
-            if (this->rank(waiting, now) <= own_rank) {
-                forecast.reserve_start(forecast.next_start(now),
-                                       this->mean_service_time(waiting.route));
+        for (auto const position : this->service_order(now)) {
+            if (position + 1 == this->queue.size()) {
+                break;
             }
+            forecast.reserve_start(forecast.next_start(now),
+                                   this->mean_service_time(this->queue[position].route));
         }
         return forecast.next_start(now);
     }
@@ -194,6 +266,13 @@
                         fraction_of(request.deadline - now, mean_exempt_fraction));
     }
 
+    // Whether a new request that starts at the given time would be answered after its limit.
+    bool is_infeasible(gate_request const& request, boot_time start, boot_time now) const {
+        return request.finish_by < request.deadline
+                   ? start + this->conservative_service_time(request.route) > request.finish_by
+                   : start + this->required_time(request, now) > request.deadline;
+    }
+
     void start(gate_request const& request, boot_time now) {
         this->running.emplace(request.id, running_request{request.route, now});
         this->pacer.start(now);
@@ -217,6 +296,7 @@
     std::optional<boot_time> stop_at;
     std::vector<gate_request> queue;
     std::unordered_map<std::uint64_t, running_request> running;
+    route_usage finished_usage;
     std::map<std::string, route_service_times, std::less<>> service_times;
     nanoseconds overall_mean{0};
 };
@@ -253,15 +333,13 @@
         impl.start(request, now);
         return gate_start{};
     }
-    auto const start = impl.expected_start(request, now);
-    bool const is_infeasible =
-        request.finish_by < request.deadline
-            ? start + impl.conservative_service_time(request.route) > request.finish_by
-            : start + impl.required_time(request, now) > request.deadline;
-    if (is_infeasible || impl.queue.size() >= queue_capacity) {
+    bool const is_full = impl.queue.size() >= queue_capacity;
+    impl.queue.push_back(std::move(request));
+    auto const start = impl.expected_start_of_newest(now);
+    if (is_full || impl.is_infeasible(impl.queue.back(), start, now)) {
+        impl.queue.pop_back();
         return implementation::overload_refusal(start - now);
     }
-    impl.queue.push_back(std::move(request));
     return gate_wait{};
 }
 
@@ -277,6 +355,8 @@
     if (result == outcome::succeeded || exceeds_mean) {
         this->self->record_service_time(route, elapsed);
     }
+    this->self->finished_usage.decay(now);
+    this->self->finished_usage.add(route, elapsed);
     this->self->running.erase(found);
 }
 
@@ -291,11 +371,10 @@
         return this->refuse_all(result_code::request_no_endpoint);
     }
     dequeued_requests dequeued;
-    std::ranges::sort(impl.queue, {},
-                      [&](gate_request const& waiting) { return impl.rank(waiting, now); });
     auto forecast = impl.forecast_starts(now);
     std::vector<gate_request> still_waiting;
-    for (auto& waiting : impl.queue) {
+    for (auto const position : impl.service_order(now)) {
+        auto& waiting = impl.queue[position];
         auto const start = forecast.next_start(now);
         if (impl.may_outlast_stop(waiting, start)) {
             dequeued.refused.emplace_back(
--- a/libraries/mesh/gate_queue.h
+++ b/libraries/mesh/gate_queue.h
@@ -23,8 +23,9 @@
 /// The target never gets more requests than it has slots, since a target that cannot queue a
 /// request may close its connection without any response, and no more requests per second than it
 /// has stated that it accepts. Requests are queued in the order of their soft deadlines; those that
-/// can no longer meet theirs come last. A request that is not expected to be answered by its own
-/// limit is refused immediately and not held until it expires.
+/// can no longer meet theirs come last. A small share of the slot time is reserved for the routes
+/// that use least of it, so that a frequent route cannot starve another one. A request that is not
+/// expected to be answered by its own limit is refused immediately and not held until it expires.
 ///
 /// Not thread-safe. The current time is passed as an argument.
 class gate_queue {
