tests: close inherited sockets in the programs that a test starts

A program started by a test inherited the listening sockets of the targets in the test process, so the port of a target that had ended kept accepting connections, and requests to it ended by a timeout instead of a refused connection.

--- a/tests/processes/support/child_process.cpp
+++ b/tests/processes/support/child_process.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <limits>
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -51,6 +52,9 @@
     }
     ::dup2(output, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    // A program that held the listening socket of a target in the test process would keep its port
+    // open after the target has ended.
+    ::close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
     ::execv(arguments[0], arguments);
     ::_exit(exit_not_started);
 }
