mesh: keep places in a full queue for routes with few requests

Where service times are short, the 256 places are taken before the expected wait refuses anything, so the reserved share of the slot time never came into play.

32 further places are kept for requests within the reserved share. The bound on memory stays: a thousand routes with one request each get no more than these. The test failed before, at the first request of the rare route.

--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <iterator>
 #include <map>
 #include <optional>
 #include <queue>
@@ -19,6 +18,9 @@
 // Maximum number of queued requests. This bounds memory; the queueing time is bounded by the
 // expected wait.
 constexpr std::size_t queue_capacity = 256;
+// Number of places beyond the capacity for requests within the reserved share, so that a frequent
+// route cannot occupy all places.
+constexpr std::size_t reserved_capacity = 32;
 // Weight of the newest service time in the moving average of its route.
 constexpr double service_time_weight = 0.1;
 // Initial estimate of the service time of an unmeasured route: this fraction of its target latency,
@@ -131,16 +133,14 @@
         }
     }
 
-    // Positions in the queue in the order in which the requests get slots: those within the
-    // reserved share come first, and each group is sorted by rank.
-    std::vector<std::size_t> service_order(boot_time now) const {
+    // The queued requests in the order in which they get slots: those within the reserved share
+    // come first, and each group is sorted by rank.
+    std::vector<ranked_request> service_order(boot_time now) const {
         auto ranked = this->ranked_requests(now);
         this->mark_reserved(ranked, now);
         std::stable_partition(ranked.begin(), ranked.end(),
                               [](ranked_request const& entry) { return entry.is_reserved; });
-        std::vector<std::size_t> order;
-        std::ranges::transform(ranked, std::back_inserter(order), &ranked_request::position);
-        return order;
+        return ranked;
     }
 
     static nanoseconds fraction_of(nanoseconds time, double fraction) {
@@ -241,18 +241,25 @@
         return forecast;
     }
 
-    // Expected time at which the newest request in the queue starts. Requests that get slots after
-    // it do not affect it.
-    boot_time expected_start_of_newest(boot_time now) const {
+    struct expected_service {
+        boot_time start;
+        bool is_reserved = false;
+    };
+
+    // Expected service of the newest request in the queue. Requests that get slots after it do not
+    // affect it.
+    expected_service expect_newest(boot_time now) const {
         auto forecast = this->forecast_starts(now);
-        for (auto const position : this->service_order(now)) {
-            if (position + 1 == this->queue.size()) {
+        bool is_reserved = false;
+        for (auto const& entry : this->service_order(now)) {
+            if (entry.position + 1 == this->queue.size()) {
+                is_reserved = entry.is_reserved;
                 break;
             }
             forecast.reserve_start(forecast.next_start(now),
-                                   this->mean_service_time(this->queue[position].route));
+                                   this->mean_service_time(this->queue[entry.position].route));
         }
-        return forecast.next_start(now);
+        return {forecast.next_start(now), is_reserved};
     }
 
     bool can_start(boot_time now) const {
@@ -333,9 +340,10 @@
         impl.start(request, now);
         return gate_start{};
     }
-    bool const is_full = impl.queue.size() >= queue_capacity;
+    auto const waiting = impl.queue.size();
     impl.queue.push_back(std::move(request));
-    auto const start = impl.expected_start_of_newest(now);
+    auto const [start, is_reserved] = impl.expect_newest(now);
+    bool const is_full = waiting >= queue_capacity + (is_reserved ? reserved_capacity : 0);
     if (is_full || impl.is_infeasible(impl.queue.back(), start, now)) {
         impl.queue.pop_back();
         return implementation::overload_refusal(start - now);
@@ -373,8 +381,8 @@
     dequeued_requests dequeued;
     auto forecast = impl.forecast_starts(now);
     std::vector<gate_request> still_waiting;
-    for (auto const position : impl.service_order(now)) {
-        auto& waiting = impl.queue[position];
+    for (auto const& entry : impl.service_order(now)) {
+        auto& waiting = impl.queue[entry.position];
         auto const start = forecast.next_start(now);
         if (impl.may_outlast_stop(waiting, start)) {
             dequeued.refused.emplace_back(
--- a/tests/mesh/gate_queue_overload_test.cpp
+++ b/tests/mesh/gate_queue_overload_test.cpp
@@ -6,6 +6,9 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <string>
+#include <variant>
 
 using namespace peridot;
 
@@ -160,3 +163,29 @@
     CHECK(kept >= 1 - reserve - tolerance);
     CHECK(background.answered >= background.offered / 5);
 }
+
+// Guards against a queue that is filled by a frequent route and refuses the requests of all others
+// until one of its places becomes free.
+TEST(gate_queue_overload, full_queue_takes_requests_of_a_rare_route) {
+    boot_time const begin{std::chrono::hours(1)};
+    gate_queue queue;
+    queue.set_slots(1);
+    std::uint64_t last_id = 0;
+    auto const offer = [&](std::string const& route) {
+        auto const deadline = begin + std::chrono::hours(1);
+        return queue.offer({++last_id, route, 2, deadline, deadline, deadline}, begin);
+    };
+    offer("frequent");
+    queue.finish(last_id, gate_queue::outcome::succeeded, begin + milliseconds(1));
+    for (int count = 0; count < 1000; ++count) {
+        offer("frequent");
+    }
+    CHECK(std::holds_alternative<gate_refusal>(offer("frequent")));
+    auto const waiting = queue.load("frequent", begin).waiting;
+    CHECK(std::holds_alternative<gate_wait>(offer("rare")));
+    // The bound holds for any number of routes.
+    for (int count = 0; count < 1000; ++count) {
+        offer("rare-" + std::to_string(count));
+    }
+    CHECK(queue.load("rare", begin).waiting <= waiting + waiting / 8);
+}
