mesh: skip the order of the queue where it cannot matter

A gate runs its queue at the end of each request, which copied the usage of all routes even with nothing waiting. With an empty queue it now returns at once, and with requests of a single route the reserved share is not computed. Decisions stay the same.

--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -119,6 +119,13 @@
         return ranked;
     }
 
+    // With requests of a single route in the queue, no share of the slot time needs to be reserved.
+    bool has_several_routes() const {
+        return std::ranges::any_of(this->queue, [this](gate_request const& waiting) {
+            return waiting.route != this->queue.front().route;
+        });
+    }
+
     // Marks the requests within the reserved share, each on the assumption that those marked before
     // it have run.
     void mark_reserved(std::vector<ranked_request>& ranked, boot_time now) const {
@@ -137,6 +144,9 @@
     // come first, and each group is sorted by rank.
     std::vector<ranked_request> service_order(boot_time now) const {
         auto ranked = this->ranked_requests(now);
+        if (!this->has_several_routes()) {
+            return ranked;
+        }
         this->mark_reserved(ranked, now);
         std::stable_partition(ranked.begin(), ranked.end(),
                               [](ranked_request const& entry) { return entry.is_reserved; });
@@ -379,6 +389,9 @@
         return this->refuse_all(result_code::request_no_endpoint);
     }
     dequeued_requests dequeued;
+    if (impl.queue.empty()) {
+        return dequeued;
+    }
     auto forecast = impl.forecast_starts(now);
     std::vector<gate_request> still_waiting;
     for (auto const& entry : impl.service_order(now)) {
