--- a/libraries/mesh/gate_decision.h
+++ b/libraries/mesh/gate_decision.h
@@ -23,7 +23,7 @@
     /// Time for which the request would have waited for a slot; zero unless it is refused for load.
     milliseconds expected_wait{0};
     /// The current target of the node, if the request was addressed to a different one.
-    std::optional<target_record> actual_target = std::nullopt;
+    std::optional<target_record> actual_target;
 };
 
 /// Decision of the gate on a new request.
--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -1,5 +1,6 @@
 #include "mesh/gate_queue.h"
 
+#include "mesh/fraction_of.h"
 #include "mesh/request_pacer.h"
 #include "mesh/route_usage.h"
 
@@ -153,10 +154,6 @@
         return ranked;
     }
 
-    static nanoseconds fraction_of(nanoseconds time, double fraction) {
-        return nanoseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * fraction));
-    }
-
     nanoseconds mean_service_time(std::string const& route) const {
         auto const found = this->service_times.find(route);
         return found == this->service_times.end() ? this->overall_mean : found->second.mean;
@@ -283,11 +280,16 @@
                         fraction_of(request.deadline - now, mean_exempt_fraction));
     }
 
+    // Whether too little time is left until the deadline if the request starts at the given time.
+    bool misses_deadline(gate_request const& request, boot_time start, boot_time now) const {
+        return start + this->required_time(request, now) > request.deadline;
+    }
+
     // Whether a new request that starts at the given time would be answered after its limit.
-    bool is_infeasible(gate_request const& request, boot_time start, boot_time now) const {
+    bool misses_limit(gate_request const& request, boot_time start, boot_time now) const {
         return request.finish_by < request.deadline
                    ? start + this->conservative_service_time(request.route) > request.finish_by
-                   : start + this->required_time(request, now) > request.deadline;
+                   : this->misses_deadline(request, start, now);
     }
 
     void start(gate_request const& request, boot_time now) {
@@ -354,7 +356,7 @@
     impl.queue.push_back(std::move(request));
     auto const [start, is_reserved] = impl.expect_newest(now);
     bool const is_full = waiting >= queue_capacity + (is_reserved ? reserved_capacity : 0);
-    if (is_full || impl.is_infeasible(impl.queue.back(), start, now)) {
+    if (is_full || impl.misses_limit(impl.queue.back(), start, now)) {
         impl.queue.pop_back();
         return implementation::overload_refusal(start - now);
     }
@@ -402,8 +404,7 @@
                 waiting.id, gate_refusal{result_code::request_draining, min_retry_after});
             continue;
         }
-        bool const is_infeasible = start + impl.required_time(waiting, now) > waiting.deadline;
-        if (now >= waiting.deadline || is_infeasible) {
+        if (now >= waiting.deadline || impl.misses_deadline(waiting, start, now)) {
             dequeued.refused.emplace_back(waiting.id,
                                           implementation::overload_refusal(start - now));
             continue;
--- a/libraries/mesh/route_usage.cpp
+++ b/libraries/mesh/route_usage.cpp
@@ -1,5 +1,7 @@
 #include "mesh/route_usage.h"
 
+#include "mesh/fraction_of.h"
+
 #include <cmath>
 
 namespace peridot {
@@ -11,11 +13,6 @@
 // Routes that have used less than this are forgotten.
 constexpr nanoseconds negligible_slot_time = microseconds(1);
 
-nanoseconds fraction_of(nanoseconds time, double fraction) {
-    std::chrono::duration<double, std::nano> const scaled = time;
-    return std::chrono::duration_cast<nanoseconds>(scaled * fraction);
-}
-
 } // namespace
 
 void route_usage::add(std::string const& route, nanoseconds slot_time) {
