sidecar: serve other nodes until the callers of a stopping node are done

Callers saw 503 for a service whose targets were all sound.

The gate now takes requests of other nodes until the requests that callers began before the notice time have ended. It refuses what could outlast the stop, as before. A call is now accepted late while the target is at work, if its deadline lies before the end of the stop.

--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -430,6 +430,10 @@
     return dequeued;
 }
 
+std::size_t gate_queue::running_count() const {
+    return this->self->running.size();
+}
+
 gate_load gate_queue::load(std::string const& route, boot_time now) const {
     auto const& impl = *this->self;
     gate_load current;
--- a/libraries/mesh/gate_queue.h
+++ b/libraries/mesh/gate_queue.h
@@ -72,6 +72,9 @@
     /// Refuses every queued request, for example when the target is draining.
     dequeued_requests refuse_all(result_code reason);
 
+    /// Number of requests that have a slot.
+    std::size_t running_count() const;
+
     /// Load of the target, as it applies to a request of the route.
     gate_load load(std::string const& route, boot_time now) const;
 
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -43,7 +43,7 @@
 namespace asio = boost::asio;
 
 // Callers detect within two readiness probes, one second apart, that a stopping node accepts no new
-// requests. The local target remains usable, so requests of other nodes are also served until then.
+// requests.
 constexpr milliseconds drain_notice_time{2300};
 constexpr milliseconds stop_poll_period{20};
 // Part of the stop timeout that is reserved for closing connections.
@@ -174,10 +174,28 @@
     }
 
 private:
-    // A request that is accepted late in a planned stop could not be completed, so it is refused.
+    // Counts a request for the lifetime of the object.
+    class request_count {
+    public:
+        explicit request_count(unsigned& number) : number(number) { ++this->number; }
+        ~request_count() { --this->number; }
+        request_count(request_count const&) = delete;
+        request_count& operator=(request_count const&) = delete;
+        request_count(request_count&&) = delete;
+        request_count& operator=(request_count&&) = delete;
+
+    private:
+        unsigned& number;
+    };
+
+    // A request that is accepted late in a planned stop may not be completed, so it is refused.
     asio::awaitable<http_response> respond_to_caller(http_request request) {
-        if (this->refuses_requests) {
-            auto const caller = read_request_metadata(request);
+        if (!this->refuses_callers) {
+            request_count const counted(this->early_requests);
+            co_return co_await this->entry.respond(std::move(request));
+        }
+        auto const caller = read_request_metadata(request);
+        if (!this->may_be_call_of_target(caller)) {
             auto answer = make_local_answer(status_unavailable, caller ? caller->attempt_id : "",
                                             stopping_retry_after);
             answer.closes_connection = true;
@@ -186,6 +204,13 @@
         co_return co_await this->entry.respond(std::move(request));
     }
 
+    // A request that the target runs fails if the calls that it makes are refused. They end at the
+    // deadline of the request.
+    bool may_be_call_of_target(std::optional<request_metadata> const& caller) const {
+        return this->gate.is_target_at_work() && caller && caller->time_left &&
+               boot_clock::now() + *caller->time_left <= this->drain_end;
+    }
+
     asio::awaitable<http_response> respond_to_peer(http_request request) {
         auto call = extract_hop_call(request, boot_clock::now());
         if (!call) {
@@ -197,7 +222,7 @@
             asio::post(this->control_context,
                        [this, ip = call->sender] { this->fleet.add_contact(ip); });
         }
-        if (this->refuses_requests) {
+        if (this->refuses_nodes) {
             co_return write_hop_answer(gate_refusal{result_code::request_draining, {}},
                                        this->hop_state_for(call->route));
         }
@@ -353,14 +378,17 @@
         this->caller_server.close_after_next_response();
         this->peer_server.close_after_next_response();
         auto const drain_start = boot_clock::now();
-        auto const drain_end = drain_start + this->bounds.stop_timeout - stop_margin;
-        this->gate.set_stop_time(drain_end);
+        this->drain_end = drain_start + this->bounds.stop_timeout - stop_margin;
+        this->gate.set_stop_time(this->drain_end);
         asio::steady_timer timer(this->data_context);
-        while (boot_clock::now() < drain_end) {
+        while (boot_clock::now() < this->drain_end) {
+            this->refuses_callers = boot_clock::now() - drain_start >= drain_notice_time;
+            // The target remains usable while the node waits for requests of its callers, so other
+            // nodes are served until then.
+            this->refuses_nodes = this->refuses_callers && this->early_requests == 0;
             bool const is_idle = this->caller_server.requests_in_flight() == 0 &&
                                  this->peer_server.requests_in_flight() == 0;
-            this->refuses_requests = boot_clock::now() - drain_start >= drain_notice_time;
-            if (is_idle && this->refuses_requests && this->announcements.is_recorded()) {
+            if (this->refuses_nodes && is_idle && this->announcements.is_recorded()) {
                 break;
             }
             timer.expires_after(stop_poll_period);
@@ -414,7 +442,13 @@
     configuration_query_pacer configuration_queries;
     bool has_target = false;
     bool is_stopping = false;
-    bool refuses_requests = false;
+    /// Requests of callers in progress that were accepted before these were refused.
+    unsigned early_requests = 0;
+    /// When a planned stop ends at the latest.
+    boot_time drain_end;
+    /// Whether new requests are refused in a planned stop.
+    bool refuses_callers = false;
+    bool refuses_nodes = false;
 };
 
 sidecar_node::sidecar_node(std::unique_ptr<implementation> implementation)
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -174,6 +174,8 @@
         return current;
     }
 
+    bool is_target_at_work() const { return this->queue.running_count() > 0; }
+
 private:
     bool is_target_blocked() const {
         return this->target && !this->blocked_version.empty() &&
@@ -456,6 +458,10 @@
     this->self->set_stop_time(at);
 }
 
+bool target_gate::is_target_at_work() const {
+    return this->self->is_target_at_work();
+}
+
 gate_load target_gate::load(std::string const& route) const {
     return this->self->load(route);
 }
--- a/libraries/sidecar/target_gate.h
+++ b/libraries/sidecar/target_gate.h
@@ -55,6 +55,9 @@
     /// Sets the time at which the node stops; requests that may not complete by then are refused.
     void set_stop_time(boot_time at);
 
+    /// Whether the target runs a request that this node has passed on.
+    bool is_target_at_work() const;
+
     gate_load load(std::string const& route) const;
 
 private:
