mesh: fall back to the old version at full share until the roll-out ends

The targets of the new version stopped answering at 21.1 s, the last step gave it all requests at 24.5 s, and 16 of 599 requests were answered until 27.5 s. Before the last step the same requests fell back to the old version.

The versions to try came from the shares, and the old version has none at full share. They now come from the roll-out: until it is complete or rolled back, its old targets stay and take what the new version does not accept. No request goes to the new version that did not go there before, so a bad one is not exposed more.

The service is still out for a second after the completion, which needs no answer of the new version; that is a fault of its own.

The test of the fallback at a small share passes the members in place of the shares and checks the same lists.

--- a/libraries/mesh/version_share.cpp
+++ b/libraries/mesh/version_share.cpp
@@ -33,6 +33,11 @@
     return best;
 }
 
+// The version in force before a rollout.
+std::string old_version_of(std::vector<member> const& members, rollout const& current) {
+    return current.from.empty() ? most_common_version(members, current.to) : current.from;
+}
+
 bool has_ready_target(std::vector<member> const& members, std::string const& version) {
     return std::ranges::any_of(members, [&](member const& candidate) {
         return candidate.target.version == version && candidate.target.state == target_state::ready;
@@ -46,8 +51,7 @@
     if (current == nullptr) {
         return {{most_common_version(members, {}), 1.0}};
     }
-    std::string const old_version =
-        current->from.empty() ? most_common_version(members, current->to) : current->from;
+    std::string const old_version = old_version_of(members, *current);
     switch (current->phase) {
     case rollout_phase::rolled_back:
         return {{old_version, 1.0}};
@@ -66,16 +70,17 @@
 }
 
 std::vector<std::string> versions_to_try(std::string const& chosen,
-                                         std::map<std::string, double> const& shares,
+                                         std::vector<member> const& members,
                                          rollout const* current) {
     std::vector<std::string> versions{chosen};
-    if (current == nullptr || chosen != current->to) {
+    bool const may_fall_back =
+        current != nullptr && chosen == current->to && current->phase == rollout_phase::running;
+    if (!may_fall_back) {
         return versions;
     }
-    for (auto const& [version, share] : shares) {
-        if (version != chosen) {
-            versions.push_back(version);
-        }
+    auto const old_version = old_version_of(members, *current);
+    if (!old_version.empty() && old_version != chosen) {
+        versions.push_back(old_version);
     }
     return versions;
 }
--- a/libraries/mesh/version_share.h
+++ b/libraries/mesh/version_share.h
@@ -19,10 +19,11 @@
 
 /// Returns the versions to try for a request, starting with the one chosen by the shares.
 ///
-/// A request that finds no free slot at the new version may fall back to the old one. The reverse
+/// While the rollout is running, a request that is not accepted by the new version may fall back to
+/// the old one, also at full share: the old targets stay until the rollout is complete. The reverse
 /// would exceed the share of the new version at the very time when the old one is failing.
 std::vector<std::string> versions_to_try(std::string const& chosen,
-                                         std::map<std::string, double> const& shares,
+                                         std::vector<member> const& members,
                                          rollout const* current);
 
 /// Returns the version in force after a completed or rolled back rollout.
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -216,7 +216,7 @@
         if (!shares.contains(placement.version)) {
             placement.version = this->share_choices.choose_version(placement.service, shares);
         }
-        for (auto const& version : versions_to_try(placement.version, shares, current)) {
+        for (auto const& version : versions_to_try(placement.version, found->second, current)) {
             auto candidates = active_members(found->second, version, current);
             std::erase_if(candidates, [this](member const* candidate) {
                 return this->notices.find(candidate->target).is_leaving;
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -243,9 +243,17 @@
 
 // Guards against a new version that gets all requests while the old one is failing.
 TEST(version_share, only_requests_for_the_new_version_fall_back) {
-    auto const shares = version_shares(members, &current);
-    CHECK((versions_to_try("v2", shares, &current) == std::vector<std::string>{"v2", "v1"}));
-    CHECK((versions_to_try("v1", shares, &current) == std::vector<std::string>{"v1"}));
+    CHECK((versions_to_try("v2", members, &current) == std::vector<std::string>{"v2", "v1"}));
+    CHECK((versions_to_try("v1", members, &current) == std::vector<std::string>{"v1"}));
+}
+
+// Guards against a service that is out while its old targets are sound, since no target of the new
+// version answers after the last step (kcg-mesh, CONFIG, second report).
+TEST(version_share, requests_fall_back_at_full_share_until_the_rollout_has_ended) {
+    current.share = 1;
+    CHECK((versions_to_try("v2", members, &current) == std::vector<std::string>{"v2", "v1"}));
+    current.phase = rollout_phase::complete;
+    CHECK((versions_to_try("v2", members, &current) == std::vector<std::string>{"v2"}));
 }
 
 // Guards against a version that fails only under load and shows it only at a large share.
