mesh: hold a roll-out whose new version cannot be reached

Requests that a gate cannot connect are no evidence, and the time of a step was enough to take it.

The requests of the share fall back to the old version, and the evidence has those. version_intake compares both: a version that got less than a quarter of its share in the last eight or more requests cannot be reached. It does not get the last step, and the last step counts only from the time at which it is reached. Such a roll-out is late; completing it takes the service away.

rollout_exposure.version_that_cannot_be_reached_is_not_completed fails without the rule (120 of 120 completed, now none); version_that_can_be_reached_again_is_completed guards the way back. Good versions: the bound of 119 of 120 in time holds as before.

--- a/libraries/mesh/rollout_controller.cpp
+++ b/libraries/mesh/rollout_controller.cpp
@@ -1,6 +1,7 @@
 #include "mesh/rollout_controller.h"
 
 #include "mesh/rollout_plan.h"
+#include "mesh/version_intake.h"
 #include "moves/judge.h"
 
 #include <algorithm>
@@ -39,11 +40,12 @@
         if (auto const* back = std::get_if<take_back>(&verdict)) {
             return *back;
         }
+        this->intake.observe(current.share, pooled(totals), now);
         auto const seen = traffic_since_start(totals, now - current.started);
         if (auto const* raise = std::get_if<step_raise>(&verdict)) {
             rollout next = current;
             next.step = raise->step;
-            return rollout_step{next.step, step_share(next, seen, this->limits)};
+            return this->take_step({next.step, step_share(next, seen, this->limits)});
         }
         if (this->is_complete(current, now)) {
             return rollout_completion{};
@@ -57,9 +59,21 @@
 
     judge_summary summary() const { return this->rollout_judge.summary(); }
 
+    bool is_share_missing() const { return this->intake.is_missing(); }
+
 private:
+    // A version whose targets cannot be reached does not get all requests.
+    decision take_step(rollout_step const& next) const {
+        if (next.share >= 1 && this->intake.is_missing()) {
+            return no_change{};
+        }
+        return next;
+    }
+
     bool is_complete(rollout const& current, milliseconds now) {
-        if (current.share < 1) {
+        // A version that is reached again has to show with all requests that it is good.
+        if (current.share < 1 || this->intake.is_missing()) {
+            this->last_step_since.reset();
             return false;
         }
         if (!this->last_step_since) {
@@ -73,6 +87,7 @@
 
     exposure_limits limits;
     judge rollout_judge;
+    version_intake intake;
     std::optional<milliseconds> last_step_since;
 };
 
@@ -93,4 +108,8 @@
     return this->self->summary();
 }
 
+bool rollout_controller::is_share_missing() const {
+    return this->self->is_share_missing();
+}
+
 } // namespace peridot
--- a/libraries/mesh/rollout_controller.h
+++ b/libraries/mesh/rollout_controller.h
@@ -21,7 +21,8 @@
 /// Answers to a bad version: failures and slow answers are judged against the old version at the
 /// same time; a step lasts until the outcome of its requests is known, also that of slow ones; and
 /// the roll-out is complete only once the last step has been judged, since the old targets then
-/// stop. Times are those of the store's clock.
+/// stop. A version whose targets cannot be reached neither gets all requests nor is completed,
+/// however late the roll-out is. Times are those of the store's clock.
 class rollout_controller {
 public:
     /// The instance name identifies the judge in a take-back.
@@ -40,6 +41,9 @@
     /// The judge's state after the last decision.
     judge_summary summary() const;
 
+    /// Whether the new version currently gets few of the requests that its share stands for.
+    bool is_share_missing() const;
+
 private:
     class implementation;
     std::unique_ptr<implementation> self;
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -46,6 +46,8 @@
         evidence_aggregator aggregator;
         std::optional<rollout_controller> controller;
         bool is_condemned = false;
+        /// Whether the new version gets few of the requests that its share stands for.
+        bool is_share_missing = false;
         /// Whether a step or the completion is being written.
         bool is_step_pending = false;
         std::uint64_t sequence = 0;
@@ -296,6 +298,7 @@
             tracked.controller.emplace(current, this->instance, this->limits);
         }
         auto const decided = tracked.controller->decide(current, tracked.aggregator.totals(), *now);
+        log_missing_share(current, tracked);
         if (auto const* verdict = std::get_if<take_back>(&decided)) {
             log::write(log::level::warning, "rollout_condemned",
                        {{"service", current.service},
@@ -319,6 +322,19 @@
         }
     }
 
+    // Why the last step or the completion may be late.
+    static void log_missing_share(rollout const& current, tracked_rollout& tracked) {
+        bool const is_missing = tracked.controller->is_share_missing();
+        if (is_missing == tracked.is_share_missing) {
+            return;
+        }
+        tracked.is_share_missing = is_missing;
+        log::write(
+            is_missing ? log::level::warning : log::level::info,
+            is_missing ? "rollout_version_unreached" : "rollout_version_reached",
+            {{"service", current.service}, {"version", current.to}, {"share", current.share}});
+    }
+
     // What a step or the completion was decided on.
     static void log_evidence(rollout const& current, tracked_rollout const& tracked) {
         auto const summary = tracked.controller->summary();
--- a/tests/sidecar/rollout_exposure_test.cpp
+++ b/tests/sidecar/rollout_exposure_test.cpp
@@ -153,3 +153,18 @@
     given.leaves_after = milliseconds(400);
     check_is_completed();
 }
+
+// Guards against a version that gets all requests and is completed, so that its old targets stop,
+// while none of its own can be reached (kcg-mesh, CONFIG, second report).
+TEST(rollout_exposure, version_that_cannot_be_reached_is_not_completed) {
+    given.unreachable_from = seconds(5);
+    given.unreachable_until = seconds(100);
+    UNSIGNED_LONGS_EQUAL(0, completed());
+}
+
+// Guards against a roll-out that never goes on after its targets could not be reached for a while.
+TEST(rollout_exposure, version_that_can_be_reached_again_is_completed) {
+    given.unreachable_from = seconds(5);
+    given.unreachable_until = seconds(12);
+    CHECK_COMPARE(completed(), >=, 119U);
+}
--- a/tests/sidecar/rollout_simulation.cpp
+++ b/tests/sidecar/rollout_simulation.cpp
@@ -82,7 +82,9 @@
     bool draw(double probability) { return std::bernoulli_distribution(probability)(this->random); }
 
     void send(simulated_route const& route, milliseconds now) {
-        bool const is_new = this->draw(this->current.share);
+        bool const is_reachable =
+            now < this->given.unreachable_from || now >= this->given.unreachable_until;
+        bool const is_new = this->draw(this->current.share) && is_reachable;
         if (now < this->given.duration) {
             this->outcome.requests += 1;
             this->outcome.exposed += is_new ? 1 : 0;
--- a/tests/sidecar/rollout_simulation.h
+++ b/tests/sidecar/rollout_simulation.h
@@ -33,6 +33,10 @@
     double cold_slowness = 1;
     /// Factor by which both versions are slower from 6 to 9 s.
     double dependency_slowness = 1;
+    /// Time from the start during which no target of the new version can be reached, so that its
+    /// requests fall back to the old one.
+    milliseconds unreachable_from{0};
+    milliseconds unreachable_until{0};
     /// Share of the callers that leave after the time if there is no answer.
     double leaving_share = 0;
     milliseconds leaves_after{0};
