--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -28,6 +28,8 @@
         ->capture_default_str();
     program.add_flag("--verbose", is_verbose,
                      "print the faults and, after a violation, the logs of the nodes");
+    program.add_flag("--logs", options.writes_all_logs,
+                     "with --verbose, print the logs of the nodes without a violation too");
     CLI11_PARSE(program, argc, argv);
     options.duration = seconds(duration);
     std::ostream silent(nullptr);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -358,7 +358,7 @@
             records, [](soak_record const& record) { return record.status == 200; }));
         result.violations = find_violations(records, this->runs, this->outages);
         std::ranges::copy(this->violations, std::back_inserter(result.violations));
-        if (!result.violations.empty()) {
+        if (!result.violations.empty() || this->options.writes_all_logs) {
             this->fleet.print_logs(this->log);
         }
         return result;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -15,6 +15,8 @@
     /// Period in which faults start; a fault may last beyond it.
     milliseconds duration{8000};
     std::size_t instances = 6;
+    /// Whether the logs of the nodes are written without a violation too.
+    bool writes_all_logs = false;
 };
 
 struct soak_result {
@@ -26,8 +28,8 @@
 };
 
 /// Runs a fleet of sidecars through the fault schedule of the seed and checks the documented
-/// guarantees. Writes each fault to the log when it is injected and, after a violation, the logs of
-/// the nodes.
+/// guarantees. Writes each fault to the log when it is injected and, after a violation or on
+/// request, the logs of the nodes.
 soak_result run_soak(soak_options const& options, std::ostream& log);
 
 } // namespace peridot::soak
