mesh: keep a retry for the routes with few requests

The frequent route takes each retry as it is earned, so a route with few requests finds the budget empty.

The budget itself is unchanged, so the limit of the fleet holds; a budget that cannot hold two retries serves all routes alike.

--- a/libraries/mesh/fleet_retry_budget.h
+++ b/libraries/mesh/fleet_retry_budget.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/boot_clock.h"
+
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -21,6 +23,11 @@
 /// Each node applies its own part without coordination: a ratio of its own requests and an even
 /// part of the reserve of the fleet. Half of the limit stays unused, since calls made by a retried
 /// request count as retries too and a restarted node starts with a full budget.
+///
+/// Answers targets that all refuse a part of their requests: a frequent route would use up every
+/// retry, so that a route with few requests gets none. The last retry is therefore kept for the
+/// routes that together make few of the service's requests. The current time is passed as an
+/// argument.
 class fleet_retry_budget {
 public:
     explicit fleet_retry_budget(fleet_retry_limit limit);
@@ -30,11 +37,13 @@
     fleet_retry_budget(fleet_retry_budget&&) = delete;
     fleet_retry_budget& operator=(fleet_retry_budget&&) = delete;
 
-    /// Counts the first attempt of a request.
-    void record_request(std::string const& service, fleet_view const& view);
+    /// Counts the first attempt of a request of the route.
+    void record_request(std::string const& service, std::string const& route,
+                        fleet_view const& view, boot_time now);
 
-    /// Takes one retry from the budget. Returns false if none is left.
-    bool try_take(std::string const& service, fleet_view const& view);
+    /// Takes one retry for a request of the route. Returns false if none is left for it.
+    bool try_take(std::string const& service, std::string const& route, fleet_view const& view,
+                  boot_time now);
 
 private:
     class implementation;
--- a/libraries/routing/retry_budget.cpp
+++ b/libraries/routing/retry_budget.cpp
@@ -39,9 +39,10 @@
     }
 }
 
-bool retry_budget::try_take() {
+bool retry_budget::try_take(double remaining) {
+    auto const required = units_per_retry + static_cast<std::int64_t>(remaining * units_per_retry);
     auto available = this->self->units.load(std::memory_order_relaxed);
-    while (available >= units_per_retry) {
+    while (available >= required) {
         if (this->self->units.compare_exchange_weak(available, available - units_per_retry,
                                                     std::memory_order_relaxed)) {
             return true;
--- a/libraries/routing/retry_budget.h
+++ b/libraries/routing/retry_budget.h
@@ -30,8 +30,9 @@
     /// Counts a first attempt, which adds a fraction of a retry to the budget.
     void record_request();
 
-    /// Takes one retry from the budget. Returns false if the budget is exhausted.
-    bool try_take();
+    /// Takes one retry from the budget. Returns false if fewer than the given number of retries
+    /// would remain.
+    bool try_take(double remaining = 0);
 
     /// Returns the number of retries currently available.
     double balance() const;
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -98,7 +98,7 @@
         placement.arrived = arrived;
         placement.retry_after = no_target_retry_after;
         this->prepare_call(placement, *caller);
-        this->retry_budget.record_request(placement.service, *view);
+        this->retry_budget.record_request(placement.service, route->name, *view, arrived);
         auto answer = co_await this->place_or_abort(placement);
         this->metrics.request_duration.record(boot_clock::now() - arrived);
         this->log_outcome(placement, answer);
@@ -315,8 +315,7 @@
                    {{"request", placement.call.attempt_id},
                     {"instance", chosen.instance},
                     {"status", static_cast<std::int64_t>(refused.answer.status)}});
-        if (placement.sends < placement.route->attempts &&
-            this->retry_budget.try_take(placement.service, *placement.view)) {
+        if (placement.sends < placement.route->attempts && this->try_take_retry(placement)) {
             return std::nullopt;
         }
         return this->make_final_answer(placement);
@@ -392,11 +391,16 @@
         return std::nullopt;
     }
 
+    bool try_take_retry(request_placement const& placement) {
+        return this->retry_budget.try_take(placement.service, placement.call.route, *placement.view,
+                                           boot_clock::now());
+    }
+
     bool may_retry(request_placement const& placement) {
         bool const is_allowed = placement.call.kind == request_kind::idempotent &&
                                 placement.sends < placement.route->attempts &&
                                 boot_clock::now() < placement.call.deadline &&
-                                this->retry_budget.try_take(placement.service, *placement.view);
+                                this->try_take_retry(placement);
         this->metrics.retried_requests.add(is_allowed ? 1 : 0);
         return is_allowed;
     }
