sidecar: tell senders that a target cannot be reached

Each node found that out for itself, again after each pause. During a roll-out a dead target could be the only one that the new version's share was sent to.

The node beside a target now records it as unreachable when no connection has succeeded and no announcement has come for 2 s, longer than the pause between two announcements; either alone is no proof. Senders offer such a target requests only if no other is left. It is ready again with its next announcement or response. Until the record is written, refusals by gates without a usable target no longer use up the six offers, up to twelve of them; they come at once. An older node reads the new state as gone.

--- a/libraries/mesh/target_state.h
+++ b/libraries/mesh/target_state.h
@@ -5,8 +5,14 @@
 
 namespace peridot {
 
-/// State that a target has announced.
-enum class target_state : std::uint8_t { ready, draining, gone };
+/// State of a target: as it has announced, or `unreachable` while its node can neither connect to
+/// it nor gets announcements from it.
+enum class target_state : std::uint8_t { ready, unreachable, draining, gone };
+
+/// Whether the target's node passes requests on to it. An unreachable target may be back already.
+inline bool is_in_service(target_state state) {
+    return state == target_state::ready || state == target_state::unreachable;
+}
 
 /// Returns the name of the state in records and log lines.
 std::string_view name(target_state state);
--- a/libraries/mesh/target_tracker.cpp
+++ b/libraries/mesh/target_tracker.cpp
@@ -44,8 +44,7 @@
     }
     target_record next = announced;
     bool const is_known = this->latest && is_same_process(*this->latest, announced);
-    if (is_known && this->latest->state != target_state::ready &&
-        next.state == target_state::ready) {
+    if (is_known && !is_in_service(this->latest->state) && next.state == target_state::ready) {
         next.state = this->latest->state;
     }
     if ((is_known && this->latest->state == target_state::gone) ||
@@ -79,14 +78,14 @@
     return target_change::updated;
 }
 
-target_change target_tracker::drain(target_record const& target) {
+target_change target_tracker::observe(target_record const& target) {
     if (!this->latest || !is_same_process(*this->latest, target)) {
         return target_change::ignored;
     }
-    if (this->latest->state != target_state::ready) {
+    if (!is_in_service(this->latest->state) || this->latest->state == target.state) {
         return target_change::none;
     }
-    this->latest->state = target_state::draining;
+    this->latest->state = target.state;
     return target_change::updated;
 }
 
@@ -99,7 +98,7 @@
     if (this->is_deregistered(recorded)) {
         restored.state = target_state::gone;
     }
-    if (restored.state == target_state::ready) {
+    if (is_in_service(restored.state)) {
         this->unconfirmed = std::move(restored);
         return target_change::none;
     }
--- a/libraries/mesh/target_tracker.h
+++ b/libraries/mesh/target_tracker.h
@@ -36,12 +36,13 @@
     /// deregistration before the record.
     target_change deregister(std::string_view id, std::optional<std::int64_t> started_ms);
 
-    /// Marks the target as draining, as it has stated in a response.
-    target_change drain(target_record const& target);
+    /// Applies a state that the node has observed: draining, as the target has stated in a
+    /// response; unreachable; or ready for one that was unreachable.
+    target_change observe(target_record const& target);
 
     /// Restores the record written by an earlier process of the node, unless a newer one is known.
-    /// A target that is recorded as ready is only awaited until it announces itself: the earlier
-    /// process may have acknowledged that it leaves, without being able to record it.
+    /// A target that is recorded as in service is only awaited until it announces itself: the
+    /// earlier process may have acknowledged that it leaves, without being able to record it.
     target_change restore(target_record const& recorded);
 
     std::optional<target_record> const& current() const { return this->latest; }
--- a/libraries/mesh/version_share.cpp
+++ b/libraries/mesh/version_share.cpp
@@ -44,6 +44,17 @@
     });
 }
 
+std::vector<member const*> members_in_state(std::vector<member> const& members,
+                                            std::string const& version, target_state state) {
+    std::vector<member const*> found;
+    for (auto const& candidate : members) {
+        if (candidate.target.version == version && candidate.target.state == state) {
+            found.push_back(&candidate);
+        }
+    }
+    return found;
+}
+
 } // namespace
 
 std::map<std::string, double> version_shares(std::vector<member> const& members,
@@ -89,14 +100,14 @@
     return ended.phase == rollout_phase::complete ? ended.to : ended.from;
 }
 
+std::vector<member const*> unreachable_members(std::vector<member> const& members,
+                                               std::string const& version) {
+    return members_in_state(members, version, target_state::unreachable);
+}
+
 std::vector<member const*> active_members(std::vector<member> const& members,
                                           std::string const& version, rollout const* current) {
-    std::vector<member const*> active;
-    for (auto const& candidate : members) {
-        if (candidate.target.version == version && candidate.target.state == target_state::ready) {
-            active.push_back(&candidate);
-        }
-    }
+    auto active = members_in_state(members, version, target_state::ready);
     bool const is_partial = current != nullptr && current->phase == rollout_phase::running &&
                             version == current->to && current->share < 1;
     if (is_partial) {
--- a/libraries/mesh/version_share.h
+++ b/libraries/mesh/version_share.h
@@ -29,6 +29,10 @@
 /// Returns the version in force after a completed or rolled back rollout.
 std::string const& resulting_version(rollout const& ended);
 
+/// Returns the members of a version whose targets are unreachable.
+std::vector<member const*> unreachable_members(std::vector<member> const& members,
+                                               std::string const& version);
+
 /// Returns the members of a version that currently get requests.
 ///
 /// While the new version has only a share, the number of its targets that get requests is limited
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -35,8 +35,11 @@
 // A remote node responds at the deadline on its own; this is the extra time for its response to
 // arrive.
 constexpr milliseconds hop_margin{30};
-// Maximum number of offers per request, including those that are refused.
+// Maximum number of offers per request, including those that are refused for load.
 constexpr unsigned max_offers = 6;
+// Maximum number of offers beyond these to gates without a usable target. They respond at once, and
+// a target in service may be the last one that is found.
+constexpr unsigned max_uncounted_offers = 12;
 // For a caller that sets no deadline, only the route's timeout limits the request.
 constexpr milliseconds max_caller_wait{120'000};
 constexpr milliseconds unready_retry_after{300};
@@ -163,7 +166,8 @@
     }
 
     asio::awaitable<http_response> place(request_placement& placement) {
-        while (placement.offers < max_offers + placement.corrections) {
+        while (placement.offers <
+               max_offers + std::min(placement.uncounted_offers, max_uncounted_offers)) {
             auto const now = boot_clock::now();
             if (now >= placement.call.deadline) {
                 break;
@@ -216,20 +220,37 @@
         if (!shares.contains(placement.version)) {
             placement.version = this->share_choices.choose_version(placement.service, shares);
         }
-        for (auto const& version : versions_to_try(placement.version, found->second, current)) {
-            auto candidates = active_members(found->second, version, current);
-            std::erase_if(candidates, [this](member const* candidate) {
-                return this->notices.find(candidate->target).is_leaving;
-            });
-            auto choice = this->selector.choose(candidates, placement.call.route,
-                                                placement.attempts, now, this->random);
-            if (choice) {
+        auto const versions = versions_to_try(placement.version, found->second, current);
+        bool has_active_member = false;
+        for (auto const& version : versions) {
+            auto const candidates = active_members(found->second, version, current);
+            has_active_member = has_active_member || !candidates.empty();
+            if (auto choice = this->choose_among(candidates, placement, now)) {
+                return choice;
+            }
+        }
+        if (has_active_member) {
+            return std::nullopt;
+        }
+        // Nothing else is left, and a target may be back before its record says so.
+        for (auto const& version : versions) {
+            auto const candidates = unreachable_members(found->second, version);
+            if (auto choice = this->choose_among(candidates, placement, now)) {
                 return choice;
             }
         }
         return std::nullopt;
     }
 
+    std::optional<target_choice> choose_among(std::vector<member const*> candidates,
+                                              request_placement const& placement, boot_time now) {
+        std::erase_if(candidates, [this](member const* candidate) {
+            return this->notices.find(candidate->target).is_leaving;
+        });
+        return this->selector.choose(candidates, placement.call.route, placement.attempts, now,
+                                     this->random);
+    }
+
     asio::awaitable<gate_answer> offer(member const& chosen, request_placement const& placement) {
         in_flight_count const counted(this->selector, chosen.instance);
         if (chosen.instance == this->identity.instance) {
@@ -340,12 +361,13 @@
             break;
         case result_code::request_misdirected:
             if (refused.actual_target && this->corrections.record(chosen, *refused.actual_target)) {
-                ++placement.corrections;
+                ++placement.uncounted_offers;
                 break;
             }
             [[fallthrough]];
         default:
             ++placement.unavailable_offers;
+            ++placement.uncounted_offers;
             this->observe(chosen, target_observation::draining);
             placement.attempts.excluded.insert(chosen.instance);
             break;
--- a/libraries/sidecar/member_json.cpp
+++ b/libraries/sidecar/member_json.cpp
@@ -15,6 +15,9 @@
     if (text == "ready") {
         return target_state::ready;
     }
+    if (text == "unreachable") {
+        return target_state::unreachable;
+    }
     return text == "draining" ? target_state::draining : target_state::gone;
 }
 
--- a/libraries/sidecar/request_placement.h
+++ b/libraries/sidecar/request_placement.h
@@ -33,8 +33,8 @@
     target_selector::attempt_history attempts;
     /// Number of members that the request was offered to.
     unsigned offers = 0;
-    /// Number of offers that only returned the record of a newer target.
-    unsigned corrections = 0;
+    /// Number of offers to gates that had no usable target, or returned the record of a newer one.
+    unsigned uncounted_offers = 0;
     /// Number of offers that were refused for load, and of those that failed because the target
     /// could not be reached or was out of service.
     unsigned overloaded_offers = 0;
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -89,7 +89,7 @@
         , store(control_connections, initial.store)
         , evidence(views, initial.service)
         , gate(data_context, connections, initial.target, metrics, evidence,
-               [this](target_record const& draining) { this->record_draining(draining); })
+               [this](target_record const& observed) { this->record_state(observed); })
         , entry(identity_of(initial), bounds, views, connections, gate, metrics,
                 [this](std::string const& ip, std::uint64_t version) {
                     this->request_newer_configuration(ip, version);
@@ -273,9 +273,9 @@
     }
 
     // Runs on the data thread; the announcements belong to the control thread.
-    void record_draining(target_record const& draining) {
+    void record_state(target_record const& observed) {
         asio::post(this->control_context,
-                   [this, draining] { this->announcements.observe_draining(draining); });
+                   [this, observed] { this->announcements.observe_state(observed); });
     }
 
     // Runs on the control thread; completes once the gate uses the new record.
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -1,7 +1,9 @@
 #include "sidecar/target_announcements.h"
 
+#include "core/boot_clock.h"
 #include "core/log.h"
 #include "mesh/row_replica.h"
+#include "mesh/target_reach.h"
 #include "mesh/target_tracker.h"
 #include "platform/decoders.h"
 #include "platform/messages.h"
@@ -72,16 +74,19 @@
             co_await this->apply_current();
         }
         bool const is_out_of_service =
-            this->tracker.current() && this->tracker.current()->state != target_state::ready;
+            this->tracker.current() && !is_in_service(this->tracker.current()->state);
         if (is_out_of_service) {
             co_await this->wait_until_recorded();
         }
         co_return acknowledgement();
     }
 
-    static asio::awaitable<void> apply_draining(std::shared_ptr<implementation> self,
-                                                target_record target) {
-        if (self->tracker.drain(target) == target_change::updated) {
+    static asio::awaitable<void> apply_state(std::shared_ptr<implementation> self,
+                                             target_record target) {
+        bool const is_refuted =
+            target.state == target_state::unreachable &&
+            !is_announcement_overdue(self->last_announcement, boot_clock::now());
+        if (!is_refuted && self->tracker.observe(target) == target_change::updated) {
             co_await self->apply_current();
         }
     }
@@ -142,7 +147,11 @@
                        {{"target", call.target_id}, {"reason", describe(failure(announced))}});
             return std::nullopt;
         }
-        return this->tracker.announce(value(announced));
+        auto const change = this->tracker.announce(value(announced));
+        if (change != target_change::ignored) {
+            this->last_announcement = boot_clock::now();
+        }
+        return change;
     }
 
     asio::awaitable<void> apply_current() {
@@ -239,6 +248,7 @@
     fleet_sync& fleet;
     apply_function apply;
     target_tracker tracker;
+    boot_time last_announcement;
     std::string recorded_text;
     asio::steady_timer retry;
     std::atomic<bool> is_recording{false};
@@ -257,8 +267,8 @@
     return this->self->respond(std::move(request));
 }
 
-void target_announcements::observe_draining(target_record const& target) {
-    asio::co_spawn(this->self->context, implementation::apply_draining(this->self, target),
+void target_announcements::observe_state(target_record const& target) {
+    asio::co_spawn(this->self->context, implementation::apply_state(this->self, target),
                    asio::detached);
 }
 
--- a/libraries/sidecar/target_announcements.h
+++ b/libraries/sidecar/target_announcements.h
@@ -41,8 +41,9 @@
     /// Responds to a call from the target.
     boost::asio::awaitable<http_response> respond(http_request request);
 
-    /// Applies and records that the target drains, as it has stated in a response.
-    void observe_draining(target_record const& target);
+    /// Applies and records a state of the target that the gate has observed. It is unreachable only
+    /// if it does not announce itself either.
+    void observe_state(target_record const& target);
 
     /// Checks the replica's rows for a record written by an earlier process of this node.
     void rows_changed();
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -5,6 +5,7 @@
 #include "http/connection_pool.h"
 #include "mesh/decaying_failure_rate.h"
 #include "mesh/gate_queue.h"
+#include "mesh/target_reach.h"
 #include "observability/counter.h"
 #include "observability/gauge.h"
 #include "observability/latency_histogram.h"
@@ -44,13 +45,13 @@
 public:
     implementation(asio::io_context& io, connection_pool& pool, socket_address target_address,
                    sidecar_metrics& node_metrics, rollout_evidence& request_evidence,
-                   draining_function on_draining)
+                   state_function on_state)
         : context(io)
         , connections(pool)
         , address(std::move(target_address))
         , metrics(node_metrics)
         , evidence(request_evidence)
-        , report_draining(std::move(on_draining)) {}
+        , report_state(std::move(on_state)) {}
 
     // A request that waits for a slot, and the decision once it is made.
     struct waiter {
@@ -128,6 +129,7 @@
     void set_target(std::optional<target_record> const& next) {
         if (!next || !this->target || !is_same_process(*next, *this->target)) {
             this->failures = {};
+            this->reach = {};
             this->has_notice = false;
             this->notice = {};
             this->queue.set_rate_limit(std::nullopt, boot_clock::now());
@@ -135,7 +137,7 @@
         this->target = next;
         bool const is_blocked = this->is_target_blocked();
         this->metrics.gate_version_blocked.set(is_blocked ? 1 : 0);
-        bool const accepts_requests = next && next->state == target_state::ready && !is_blocked;
+        bool const accepts_requests = next && is_in_service(next->state) && !is_blocked;
         this->queue.set_slots(accepts_requests ? next->slots : 0);
         this->deliver_decisions(
             accepts_requests
@@ -186,7 +188,7 @@
         if (!this->target) {
             return gate_refusal{result_code::request_no_endpoint, {}};
         }
-        if (this->target->state != target_state::ready) {
+        if (!is_in_service(this->target->state)) {
             return gate_refusal{result_code::request_draining, {}};
         }
         if (this->is_target_blocked()) {
@@ -274,6 +276,7 @@
             std::chrono::duration_cast<microseconds>(ended_at - started));
         if (auto const* failed = std::get_if<exchange_failure>(&outcome)) {
             if (failed->progress == exchange_progress::not_sent) {
+                this->observe_unconnected(call, ended_at);
                 observed->finish(call_outcome::not_judged, ended_at);
                 co_return gate_refusal{result_code::request_connect_failed, {}};
             }
@@ -286,6 +289,7 @@
             this->log_unknown_outcome(call, failed->reason);
             co_return gate_unknown{failed->reason};
         }
+        this->observe_response(call);
         auto& answer = std::get<http_response>(outcome);
         observed->set_response_started(ended_at);
         auto const proof = classify_answer(answer, call.attempt_id);
@@ -340,10 +344,39 @@
         });
     }
 
+    bool is_current_target(gate_call const& call) const {
+        return this->target && this->target->id == call.target_id;
+    }
+
+    void observe_unconnected(gate_call const& call, boot_time now) {
+        if (!this->is_current_target(call)) {
+            return;
+        }
+        this->reach.observe_failure(now);
+        if (this->reach.is_lost(now) && this->target->state == target_state::ready) {
+            this->report_target_state(target_state::unreachable);
+        }
+    }
+
+    void observe_response(gate_call const& call) {
+        if (!this->is_current_target(call)) {
+            return;
+        }
+        this->reach.observe_response();
+        if (this->target->state == target_state::unreachable) {
+            this->report_target_state(target_state::ready);
+        }
+    }
+
+    void report_target_state(target_state observed) const {
+        auto record = *this->target;
+        record.state = observed;
+        this->report_state(record);
+    }
+
     void observe_notice(gate_call const& call, http_response const& answer) {
         auto const observed = read_target_notice(answer);
-        bool const is_current_target = this->target && this->target->id == call.target_id;
-        if (observed && is_current_target) {
+        if (observed && this->is_current_target(call)) {
             this->has_notice = true;
             this->apply_notice(*observed);
         }
@@ -357,11 +390,11 @@
             this->apply_rate_limit(next.rate_limit);
         }
         this->notice = next;
-        if (next.is_leaving && this->target->state == target_state::ready) {
+        if (next.is_leaving && is_in_service(this->target->state)) {
             auto draining = *this->target;
             draining.state = target_state::draining;
             this->set_target(draining);
-            this->report_draining(draining);
+            this->report_state(draining);
         }
     }
 
@@ -421,8 +454,9 @@
     socket_address address;
     sidecar_metrics& metrics;
     rollout_evidence& evidence;
-    draining_function report_draining;
+    state_function report_state;
     decaying_failure_rate failures;
+    target_reach reach;
     std::optional<target_record> target;
     /// What the target stated in its last response, or to a sender before its first response here.
     target_notice notice;
@@ -436,9 +470,9 @@
 
 target_gate::target_gate(asio::io_context& context, connection_pool& connections,
                          socket_address target, sidecar_metrics& metrics,
-                         rollout_evidence& evidence, draining_function report_draining)
+                         rollout_evidence& evidence, state_function report_state)
     : self(std::make_unique<implementation>(context, connections, std::move(target), metrics,
-                                            evidence, std::move(report_draining))) {}
+                                            evidence, std::move(report_state))) {}
 
 target_gate::~target_gate() = default;
 
--- a/libraries/sidecar/target_gate.h
+++ b/libraries/sidecar/target_gate.h
@@ -31,12 +31,13 @@
 /// thread-safe.
 class target_gate {
 public:
-    /// Called when the target states in a response that it drains.
-    using draining_function = std::function<void(target_record const&)>;
+    /// Called with a state that differs from the recorded one: draining, as the target states in a
+    /// response; unreachable; or ready when an unreachable target responds.
+    using state_function = std::function<void(target_record const&)>;
 
     target_gate(boost::asio::io_context& context, connection_pool& connections,
                 socket_address target, sidecar_metrics& metrics, rollout_evidence& evidence,
-                draining_function report_draining);
+                state_function report_state);
     ~target_gate();
     target_gate(target_gate const&) = delete;
     target_gate& operator=(target_gate const&) = delete;
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -110,6 +110,25 @@
     CHECK(tracker.current()->state == target_state::gone);
 }
 
+// Guards against a target that is never used again after its node could not reach it for a while,
+// and against one that is used again although it has announced its shutdown.
+TEST(target_tracker, unreachable_target_returns_unless_it_leaves) {
+    tracker.announce(heartbeat("i-1", 100, 1));
+    auto const lost = heartbeat("i-1", 100, 1, target_state::unreachable);
+    CHECK(tracker.observe(lost) == target_change::updated);
+    CHECK(tracker.announce(heartbeat("i-1", 100, 2)) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::ready);
+    tracker.observe(lost);
+    CHECK(tracker.observe(heartbeat("i-1", 100, 1)) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::ready);
+    tracker.observe(lost);
+    tracker.announce(heartbeat("i-1", 100, 3, target_state::draining));
+    CHECK(tracker.observe(heartbeat("i-1", 100, 1)) == target_change::none);
+    CHECK(tracker.current()->state == target_state::draining);
+    CHECK(tracker.observe(heartbeat("i-0", 50, 1, target_state::unreachable)) ==
+          target_change::ignored);
+}
+
 // Guards against a target that restarts with the same id and a reset sequence number and whose
 // announcements are dropped as late.
 TEST(target_tracker, restarted_target_with_the_same_id_replaces_the_old_one) {
--- a/tests/processes/targets_gone/targets_gone_test.cpp
+++ b/tests/processes/targets_gone/targets_gone_test.cpp
@@ -26,6 +26,10 @@
             this->fleet.call(from, "/get/1", "attempt-" + std::to_string(++this->attempts));
         return answer ? answer->status : 0;
     }
+
+    std::string record_of(mesh_instance const& instance) {
+        return this->fleet.store().value("peridot", "member/" + instance.name);
+    }
 };
 
 // Guards against a request that is refused although a target is in service, because all its offers
@@ -55,3 +59,21 @@
     UNSIGNED_LONGS_EQUAL(200, status_of_call(caller));
     UNSIGNED_LONGS_EQUAL(before + 1, left.target->run_count());
 }
+
+// Guards against senders that go on offering requests to a target that has ended without a word,
+// since its record still says that it is ready; and against one that stays unused after it has
+// returned.
+TEST(targets_gone, record_says_that_a_target_cannot_be_reached) {
+    fleet.configure(1);
+    auto& caller = fleet.add("plants");
+    auto& gone = fleet.add("deposits");
+    CHECK(wait_until([&] { return status_of_call(caller) == 200; }));
+    gone.target.reset();
+    CHECK(wait_until([&] {
+        status_of_call(caller);
+        return record_of(gone).find(R"("state":"unreachable")") != std::string::npos;
+    }));
+    fleet.replace_target(gone, "i-returned");
+    CHECK(wait_until([&] { return status_of_call(caller) == 200; }));
+    CHECK(gone.target->run_count() > 0);
+}
