--- a/tests/service_outages/service_outages_test.py
+++ b/tests/service_outages/service_outages_test.py
@@ -21,7 +21,7 @@
 def requests(status, reason, begin_ms=5000, count=40):
     event = "request_answered" if status < 500 else "request_not_answered"
     return [line(begin_ms + 50 * number, "caller", event, service="deposits", instance="dead", status=status,
-                 reason=reason) for number in range(count)]
+                 reason=reason, sends=int(status < 500)) for number in range(count)]
 
 
 def refusal(at_ms, name, reason, in_use=0):
@@ -54,6 +54,12 @@
         step = line(3000, "full", "rollout_step", service="deposits", version="v2", status=status)
         self.check(member("full") + member("bad", "v2") + [step] + full + failed, 0)
 
+    # Guards against targets that refuse requests themselves and are reported as unused.
+    def test_target_that_refuses_is_not_unused(self):
+        refused = [line(5000 + 100 * number, "caller", "target_refused", instance="grey", status=503)
+                   for number in range(20)]
+        self.check(member("grey") + refused + requests(503, "request_overloaded"), 0)
+
     # Guards against stretches that are no outage: answered, short, or with few requests.
     def test_served_and_short_stretches_are_left_out(self):
         self.assertEqual("", self.check(member("idle") + requests(200, "ok"), 0))
