--- a/tests/processes/sidecar/rollout_verdict_test.cpp
+++ b/tests/processes/sidecar/rollout_verdict_test.cpp
@@ -173,3 +173,26 @@
     CHECK(is_blocked_meanwhile);
     CHECK(wait_until([&] { return status().find("running") == std::string::npos; }));
 }
+
+// Guards against a service that is out while its old targets are sound: its new version was
+// condemned at full share, its gates refuse every request, and the store does not take the
+// roll-back (CONFIG on kcg-mesh, second report).
+TEST(rollout_verdict, old_targets_serve_while_the_roll_back_waits_at_the_store) {
+    order_rollout(seconds(60));
+    auto last_step = recorded();
+    last_step.step = 3;
+    last_step.share = 1;
+    fleet.store().put("peridot", "rollout/deposits", encode_rollout(last_step));
+    CHECK(wait_until([&] {
+        wait_until_served();
+        return new_target->target->run_count() > 0;
+    }));
+    fleet.store().set_unavailable(true);
+    CHECK(send_verdict(*new_target));
+    CHECK(wait_until([&] { return is_blocked(*new_target); }));
+    for (int round = 0; round < 30; ++round) {
+        auto const answer = fleet.call(*caller, "/get/1", "blocked-" + std::to_string(++attempts));
+        CHECK(answer && answer->status == 200);
+    }
+    STRCMP_CONTAINS("running", status().c_str());
+}
