mesh: do not complete a roll-out while its latest answers fail

A version that answers nothing turned bad 140 ms before its completion was decided; 7 of 301 answers had failed, E was 0.57. The old targets stop with the completion.

E needs some tens of answers, and the completion cannot be taken back. It now waits while the failures of the version's answers of the last half second exceed three times the expected ones by more than three, judged by its earlier answers and the old version's. E then condemns it, or the rate becomes usual.

This narrows the time; a version that turns bad at the very end or after it is still completed.

--- a/libraries/mesh/rollout_controller.cpp
+++ b/libraries/mesh/rollout_controller.cpp
@@ -1,5 +1,6 @@
 #include "mesh/rollout_controller.h"
 
+#include "mesh/latest_failures.h"
 #include "mesh/rollout_plan.h"
 #include "mesh/version_intake.h"
 #include "moves/judge.h"
@@ -40,7 +41,9 @@
         if (auto const* back = std::get_if<take_back>(&verdict)) {
             return *back;
         }
-        this->intake.observe(current.share, pooled(totals), now);
+        auto const sum = pooled(totals);
+        this->intake.observe(current.share, sum, now);
+        this->failures.observe(sum, now);
         auto const seen = traffic_since_start(totals, now - current.started);
         if (auto const* raise = std::get_if<step_raise>(&verdict)) {
             rollout next = current;
@@ -81,13 +84,14 @@
         }
         auto const summary = this->rollout_judge.summary();
         bool const is_judged = summary.is_step_judged || is_completion_due(current, now);
-        return is_judged && !summary.is_holding &&
+        return is_judged && !summary.is_holding && !this->failures.is_rising() &&
                can_complete_rollout(current, *this->last_step_since, now);
     }
 
     exposure_limits limits;
     judge rollout_judge;
     version_intake intake;
+    latest_failures failures;
     std::optional<milliseconds> last_step_since;
 };
 
--- a/tests/sidecar/rollout_exposure_test.cpp
+++ b/tests/sidecar/rollout_exposure_test.cpp
@@ -168,3 +168,16 @@
     given.unreachable_until = seconds(12);
     CHECK_COMPARE(completed(), >=, 119U);
 }
+
+// Guards against a version that turns bad just before its completion and is completed with failures
+// in its latest answers (CONFIG on kcg-mesh in the words of the second report).
+TEST(rollout_exposure, version_that_fails_shortly_before_its_completion_is_not_completed) {
+    given.routes = services().front();
+    given.failure_share = 1;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        given.bad_from = milliseconds::max();
+        auto const completed_at = simulate(given, seed).ended;
+        given.bad_from = completed_at - milliseconds(400);
+        CHECK(simulate(given, seed).phase != rollout_phase::complete);
+    }
+}
--- a/tests/sidecar/rollout_simulation.cpp
+++ b/tests/sidecar/rollout_simulation.cpp
@@ -95,7 +95,7 @@
         milliseconds lasts{
             std::llround(static_cast<double>(route.median.count()) * this->slowness(is_new, now) *
                          std::lognormal_distribution<double>(0, sigma)(this->random))};
-        if (is_new && this->is_bad() && this->draw(this->given.failure_share)) {
+        if (is_new && this->is_bad(now) && this->draw(this->given.failure_share)) {
             request.result = call_outcome::failed;
         }
         if (lasts >= route.deadline) {
@@ -110,7 +110,9 @@
         this->open.push_back(request);
     }
 
-    bool is_bad() const { return this->current.share >= this->given.bad_from_share; }
+    bool is_bad(milliseconds now) const {
+        return this->current.share >= this->given.bad_from_share && now >= this->given.bad_from;
+    }
 
     double slowness(bool is_new, milliseconds now) {
         bool const is_disturbed = now >= seconds(6) && now < seconds(9);
@@ -118,7 +120,7 @@
         if (is_new && now < seconds(2)) {
             factor *= this->given.cold_slowness;
         }
-        if (is_new && this->is_bad() && this->draw(this->given.slow_share)) {
+        if (is_new && this->is_bad(now) && this->draw(this->given.slow_share)) {
             factor *= this->given.slowness;
         }
         return factor;
--- a/tests/sidecar/rollout_simulation.h
+++ b/tests/sidecar/rollout_simulation.h
@@ -27,8 +27,9 @@
     double slowness = 1;
     /// Share of the new version's requests that fail at once.
     double failure_share = 0;
-    /// Share from which the version is bad.
+    /// Share from which the version is bad, and the time from the start.
     double bad_from_share = 0;
+    milliseconds bad_from{0};
     /// Factor by which the new version is slower during its first two seconds.
     double cold_slowness = 1;
     /// Factor by which both versions are slower from 6 to 9 s.
