sidecar: log the store's era, a fallen revision and rows left out as old

A node that keeps an older configuration because it takes the store's rows for old wrote nothing about it, so the hypotheses about refused routes of acknowledged versions could not be told apart.

--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -88,6 +88,7 @@
                         })
         , writer(io, pool, client, settings.control_port)
         , search(settings.ip, settings.availability_zone) {
+        this->store.set_era_observer([this](std::uint64_t era) { this->observe_era(era); });
         this->add_feed(std::string(store_keys::operator_table), configuration_wait);
         this->add_feed(std::string(fleet_keys::table), members_wait);
     }
@@ -102,6 +103,16 @@
 
     void add_contact(std::string const& ip) { this->search.add_contact(ip); }
 
+    void observe_era(std::uint64_t era) {
+        if (era <= this->store_era) {
+            return;
+        }
+        log::write(log::level::warning, "store_era_changed",
+                   {{"era", static_cast<std::int64_t>(era)},
+                    {"before", static_cast<std::int64_t>(this->store_era)}});
+        this->store_era = era;
+    }
+
     // Both clocks are steady. The smallest offset is kept, because a delayed response would set the
     // clock back.
     void observe_store_time(milliseconds read) {
@@ -416,6 +427,7 @@
     void apply(std::vector<replica_row> rows) {
         bool is_changed = false;
         for (auto& row : rows) {
+            this->log_if_older(row);
             is_changed |= this->replica.apply(std::move(row));
         }
         if (is_changed) {
@@ -423,6 +435,19 @@
         }
     }
 
+    // A row that is taken for old although its content differs is either late or from a store whose
+    // revisions have fallen.
+    void log_if_older(replica_row const& row) const {
+        auto const* held = this->replica.find(row.table, row.key);
+        if (held != nullptr && row.revision < held->revision && row.value != held->value) {
+            log::write(log::level::info, "row_older_than_held",
+                       {{"table", row.table},
+                        {"key", row.key},
+                        {"revision", static_cast<std::int64_t>(row.revision)},
+                        {"held", static_cast<std::int64_t>(held->revision)}});
+        }
+    }
+
     void publish() {
         auto view = this->builder.build(this->replica);
         for (auto const& [service, members] : view->members) {
@@ -456,6 +481,8 @@
     row_query_handler query_handler;
     row_writer writer;
     bool has_published = false;
+    /// The latest era that a response of the store has named.
+    std::uint64_t store_era = 0;
     std::optional<milliseconds> store_clock_offset;
     fallback_peer_selector search;
     random_source random = make_random_source();
--- a/libraries/sidecar/table_feed.cpp
+++ b/libraries/sidecar/table_feed.cpp
@@ -85,6 +85,12 @@
             from = rows.back().key + '\0';
         }
         this->needs_snapshot = false;
+        if (as_of < this->revision) {
+            log::write(log::level::warning, "store_revision_fell",
+                       {{"table", this->table},
+                        {"revision", static_cast<std::int64_t>(as_of)},
+                        {"held", static_cast<std::int64_t>(this->revision)}});
+        }
         this->revision = std::max(this->revision, as_of);
         this->callbacks.replace(std::move(rows), as_of);
         co_return step_kind::snapshot_read;
