tests: show a store that comes back from a copy

The store stand-in can go back to a copy of its rows: it names an era in each response, gives revisions out again, and answers 410 to a read from one that it does not have.

--- a/tests/processes/mesh_support/store_standin.cpp
+++ b/tests/processes/mesh_support/store_standin.cpp
@@ -25,6 +25,8 @@
 namespace json = boost::json;
 
 constexpr milliseconds feed_poll{5};
+constexpr unsigned status_gone = 410;
+constexpr std::string_view era_field = "Store-Era";
 
 http_response answer_with(json::object const& body, unsigned status = 200) {
     http_response answer;
@@ -36,6 +38,18 @@
 
 } // namespace
 
+struct stored_row {
+    std::string value;
+    std::uint64_t revision = 0;
+};
+using row_key = std::pair<std::string, std::string>;
+
+class store_standin::copy {
+public:
+    std::map<row_key, stored_row> rows;
+    std::uint64_t revision = 0;
+};
+
 class store_standin::implementation {
 public:
     explicit implementation(std::string const& ip)
@@ -93,12 +107,6 @@
         std::list<std::string>::iterator position;
     };
 
-    struct stored_row {
-        std::string value;
-        std::uint64_t revision = 0;
-    };
-    using row_key = std::pair<std::string, std::string>;
-
     static json::object row_json(row_key const& key, stored_row const& row) {
         return {{"Table", key.first},
                 {"part", ""},
@@ -122,10 +130,16 @@
     }
 
     double now() const {
-        return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch())
+        return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch() -
+                                             this->clock_delay.load())
             .count();
     }
 
+    std::uint64_t newest_revision() const {
+        std::lock_guard const guard(this->lock);
+        return this->revision;
+    }
+
     http_response commit(std::string const& text) {
         auto const body = json::parse(text).as_object();
         std::lock_guard const guard(this->lock);
@@ -197,9 +211,11 @@
         if (this->is_unavailable) {
             http_response unavailable;
             unavailable.status = 503;
+            unavailable.headers.set(era_field, std::to_string(this->era.load()));
             co_return unavailable;
         }
         auto answer = co_await this->answer(std::move(request));
+        answer.headers.set(era_field, std::to_string(this->era.load()));
         if (this->delay.load() > milliseconds(0)) {
             asio::steady_timer timer(this->context, this->delay.load());
             co_await timer.async_wait(asio::use_awaitable);
@@ -245,7 +261,14 @@
         auto const until = std::chrono::steady_clock::now() + wait;
         asio::steady_timer timer(this->context);
         waiting_call const counted(this->waiting);
+        if (after > this->newest_revision()) {
+            co_return answer_with({}, status_gone);
+        }
+        auto const era_at_start = this->era.load();
         for (;;) {
+            if (this->era != era_at_start) {
+                throw std::runtime_error("the store was restored");
+            }
             auto found = this->page(table, after);
             if (!found.at("Rows").as_array().empty() || std::chrono::steady_clock::now() >= until ||
                 this->is_unavailable) {
@@ -265,6 +288,8 @@
     mutable std::mutex lock;
     std::map<row_key, stored_row> rows;
     std::uint64_t revision = 0;
+    std::atomic<std::uint64_t> era{1};
+    std::atomic<milliseconds> clock_delay{milliseconds(0)};
     std::atomic<bool> is_silent{false};
     std::atomic<bool> is_unavailable{false};
     std::atomic<bool> is_losing_answers{false};
@@ -351,4 +376,17 @@
     this->self->is_losing_answers = is_losing;
 }
 
+std::shared_ptr<store_standin::copy const> store_standin::make_copy() const {
+    std::lock_guard const guard(this->self->lock);
+    return std::make_shared<copy const>(copy{this->self->rows, this->self->revision});
+}
+
+void store_standin::restore(copy const& earlier, milliseconds clock_step) {
+    std::lock_guard const guard(this->self->lock);
+    this->self->rows = earlier.rows;
+    this->self->revision = earlier.revision;
+    this->self->clock_delay = this->self->clock_delay.load() + clock_step;
+    ++this->self->era;
+}
+
 } // namespace peridot::processes
--- a/tests/processes/mesh_support/store_standin.h
+++ b/tests/processes/mesh_support/store_standin.h
@@ -11,7 +11,8 @@
 namespace peridot::processes {
 
 /// The platform's store on a thread of the test process: rows with revisions, conditional
-/// transactions and a feed that waits for changes.
+/// transactions and a feed that waits for changes. It can come back from a copy of its rows, which
+/// raises the era that it names in each response.
 class store_standin {
 public:
     explicit store_standin(std::string const& ip);
@@ -53,6 +54,14 @@
     /// Processes requests but closes the connection instead of responding.
     void set_losing_answers(bool is_losing);
 
+    /// A copy of the rows and of the revision, as of one moment.
+    class copy;
+    std::shared_ptr<copy const> make_copy() const;
+    /// Goes back to a copy and enters the next era: what was written since is lost, and revisions
+    /// are given out again. Pending calls to the feed lose their connections. The store's clock
+    /// goes back by the given time.
+    void restore(copy const& earlier, milliseconds clock_step = milliseconds(0));
+
 private:
     class implementation;
     std::unique_ptr<implementation> self;
