sidecar: order the store's rows by era and write again what it has lost

A row version was taken for an order that rises for ever, so every row of the new era counted as old, and the feed asked from a revision that the store does not have, got 410, read the table, dropped it and asked again.

A position is now the era with the row version, compared by era first, in the replica, the feeds, the exchange between nodes, the conditions of writes and the records of members and roll-outs. The view keeps what must not fall with the store: the later state of a target's life and the progress of a roll-out. The node beside a target, and one node of a service, write again what the store lost. A write by way of another node under a condition of an ended era is refused (5010).

--- a/libraries/core/result_code.cpp
+++ b/libraries/core/result_code.cpp
@@ -112,6 +112,8 @@
         return "platform_record_malformed";
     case result_code::platform_value_unknown:
         return "platform_value_unknown";
+    case result_code::platform_era_ended:
+        return "platform_era_ended";
     case result_code::datagram_malformed:
         return "datagram_malformed";
     case result_code::member_unknown:
--- a/libraries/core/result_code.h
+++ b/libraries/core/result_code.h
@@ -72,6 +72,7 @@
     platform_history_gone = 5007,
     platform_record_malformed = 5008,
     platform_value_unknown = 5009,
+    platform_era_ended = 5010,
 
     // 6xxx: membership.
     datagram_malformed = 6001,
--- a/libraries/mesh/member.h
+++ b/libraries/mesh/member.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/socket_address.h"
+#include "mesh/store_revision.h"
 #include "mesh/target_record.h"
 
-#include <cstdint>
 #include <string>
 
 namespace peridot {
@@ -17,7 +17,7 @@
     /// Fraction of a processor core that is available to the instance.
     double processor_share = 0;
     /// Revision of the record in the store. A replacement instance has a higher one.
-    std::uint64_t revision = 0;
+    store_revision revision;
 
     bool operator==(member const&) const = default;
 };
--- a/libraries/mesh/replica_row.h
+++ b/libraries/mesh/replica_row.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cstdint>
+#include "mesh/store_revision.h"
+
 #include <string>
 
 namespace peridot {
@@ -10,7 +11,7 @@
     std::string table;
     std::string key;
     std::string value;
-    std::uint64_t revision = 0;
+    store_revision revision;
     bool is_removed = false;
 
     bool operator==(replica_row const&) const = default;
--- /dev/null
+++ b/libraries/mesh/rollout_history.cpp
@@ -0,0 +1,105 @@
+#include "mesh/rollout_history.h"
+
+#include "mesh/version_share.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace peridot {
+
+namespace {
+
+bool has_same_content(rollout const& first, rollout const& second) {
+    return first.to == second.to && first.duration == second.duration;
+}
+
+// Whether the order that was found is the one of a roll-out that is known already. In a later era,
+// the order may have another number.
+bool is_same_order(rollout const& known, rollout const& found) {
+    return known.ordered_at == found.ordered_at ||
+           (known.ordered_at.era < found.ordered_at.era && has_same_content(known, found));
+}
+
+// How far a roll-out has come. The old targets stop with a completion, so it goes before a
+// roll-back.
+auto progress(rollout const& current) {
+    int const phase = current.phase == rollout_phase::complete      ? 2
+                      : current.phase == rollout_phase::rolled_back ? 1
+                                                                    : 0;
+    return std::tuple(phase, current.started.count() != 0, current.step);
+}
+
+// Merges two states of the same order; of two that have come equally far, the recorded one counts.
+rollout merge(rollout const& remembered, rollout const& recorded) {
+    bool const is_ahead = progress(remembered) > progress(recorded);
+    rollout merged = is_ahead ? remembered : recorded;
+    merged.order = std::min(remembered.order, recorded.order);
+    return merged;
+}
+
+} // namespace
+
+std::map<std::string, rollout, std::less<>>
+rollout_history::update(std::vector<stored_rollout> const& stored, std::uint64_t era) {
+    std::set<std::string> present;
+    for (auto const& entry : stored) {
+        present.insert(entry.ordered.service);
+        this->latest[entry.ordered.service] = this->resolve(entry);
+    }
+    // An order that the copy lacks is written again by the operator.
+    std::erase_if(this->latest, [&](auto const& entry) {
+        return !present.contains(entry.first) && entry.second.ordered_at.era >= era;
+    });
+    return this->latest;
+}
+
+rollout rollout_history::resolve(stored_rollout const& stored) {
+    auto const& ordered = stored.ordered;
+    auto const found = this->latest.find(ordered.service);
+    auto known = found == this->latest.end() ? std::nullopt : std::optional(found->second);
+    if (known && stored.recorded && is_same_order(*known, *stored.recorded)) {
+        known = merge(*known, *stored.recorded);
+    }
+    if (known && is_same_order(*known, ordered)) {
+        known->ordered_at = ordered.ordered_at;
+        return *known;
+    }
+    if (known && this->is_earlier_order(ordered)) {
+        return *known;
+    }
+    if (known) {
+        auto& before = this->earlier[ordered.service];
+        before.push_back(*known);
+        if (before.size() > max_earlier) {
+            before.pop_front();
+        }
+    }
+    if (stored.recorded && is_same_order(*stored.recorded, ordered)) {
+        auto recorded = *stored.recorded;
+        recorded.ordered_at = ordered.ordered_at;
+        return recorded;
+    }
+    rollout next = ordered;
+    // The previous roll-out determines the version that is currently in force.
+    if (known && (!stored.recorded || known->ordered_at >= stored.recorded->ordered_at)) {
+        next.from = resulting_version(*known);
+    } else if (stored.recorded) {
+        next.from = resulting_version(*stored.recorded);
+    }
+    return next;
+}
+
+// A copy of the store may show the order before the latest one until the operator has written the
+// latest one again.
+bool rollout_history::is_earlier_order(rollout const& ordered) const {
+    auto const found = this->earlier.find(ordered.service);
+    return found != this->earlier.end() &&
+           std::ranges::any_of(found->second, [&](rollout const& before) {
+               return before.ordered_at.era < ordered.ordered_at.era &&
+                      before.ordered_at.number == ordered.ordered_at.number &&
+                      has_same_content(before, ordered);
+           });
+}
+
+} // namespace peridot
--- a/libraries/mesh/rollout_plan.cpp
+++ b/libraries/mesh/rollout_plan.cpp
@@ -85,7 +85,8 @@
 } // namespace
 
 std::string rollout_id(rollout const& current) {
-    return "r" + std::to_string(current.order);
+    auto const number = "r" + std::to_string(current.order.number);
+    return current.order.era == 0 ? number : number + "." + std::to_string(current.order.era);
 }
 
 move_plan make_rollout_plan(rollout const& current) {
--- a/libraries/mesh/target_corrections.h
+++ b/libraries/mesh/target_corrections.h
@@ -2,7 +2,6 @@
 
 #include "mesh/member.h"
 
-#include <cstdint>
 #include <string>
 #include <unordered_map>
 
@@ -27,7 +26,7 @@
 
 private:
     struct correction {
-        std::uint64_t revision = 0;
+        store_revision revision;
         target_record actual_target;
     };
 
--- a/libraries/mesh/version_share.cpp
+++ b/libraries/mesh/version_share.cpp
@@ -11,7 +11,7 @@
 // first.
 std::string most_common_version(std::vector<member> const& members, std::string const& except) {
     std::map<std::string, std::size_t> counts;
-    std::map<std::string, std::uint64_t> first_revision;
+    std::map<std::string, store_revision> first_revision;
     for (auto const& candidate : members) {
         auto const& version = candidate.target.version;
         if (version == except) {
--- a/libraries/sidecar/commit_message.cpp
+++ b/libraries/sidecar/commit_message.cpp
@@ -16,7 +16,9 @@
 
 struct outcome_writer {
     json::object operator()(commit_done const& done) const {
-        return {{"revision", done.revision}, {"store_time_ms", done.store_time.count()}};
+        json::object written{{"store_time_ms", done.store_time.count()}};
+        add_revision(written, done.revision);
+        return written;
     }
     json::object operator()(commit_conflict const& conflict) const {
         return {{"conflict", to_json(to_replica_rows(conflict.rows))}};
@@ -34,7 +36,7 @@
         return error{static_cast<result_code>(code->to_number<unsigned>()),
                      std::string(object.at("message").as_string())};
     }
-    return commit_done{object.at("revision").to_number<std::uint64_t>(),
+    return commit_done{read_revision(object),
                        milliseconds(object.at("store_time_ms").to_number<std::int64_t>())};
 }
 
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -8,6 +8,7 @@
 #include "mesh/mesh_configuration.h"
 #include "mesh/row_replica.h"
 #include "mesh/row_source_selector.h"
+#include "mesh/store_clock.h"
 #include "platform/decoders.h"
 #include "platform/store_client.h"
 #include "settings/sidecar_settings.h"
@@ -68,6 +69,10 @@
 // A row that another node already holds usually arrives from the regular source within this time.
 constexpr milliseconds propagation_time{300};
 
+milliseconds time_since_boot() {
+    return std::chrono::duration_cast<milliseconds>(boot_clock::now().time_since_epoch());
+}
+
 } // namespace
 
 class fleet_sync::implementation : public std::enable_shared_from_this<implementation> {
@@ -84,7 +89,8 @@
         , query_handler(io, replica,
                         [this] {
                             return row_query_handler::copy_state{
-                                this->covered(), this->is_current(), this->store_time()};
+                                this->covered(), this->is_current(), this->store_time(),
+                                this->clock.era()};
                         })
         , writer(io, pool, client, settings.control_port)
         , search(settings.ip, settings.availability_zone) {
@@ -107,34 +113,32 @@
         if (era <= this->store_era) {
             return;
         }
-        log::write(log::level::warning, "store_era_changed",
+        log::write(this->store_era == 0 ? log::level::info : log::level::warning,
+                   "store_era_changed",
                    {{"era", static_cast<std::int64_t>(era)},
                     {"before", static_cast<std::int64_t>(this->store_era)}});
         this->store_era = era;
+        for (auto& [table, feed] : this->feeds) {
+            feed->observe_era(era);
+        }
     }
 
-    // Both clocks are steady. The smallest offset is kept, because a delayed response would set the
-    // clock back.
-    void observe_store_time(milliseconds read) {
-        auto const offset =
-            std::chrono::duration_cast<milliseconds>(boot_clock::now().time_since_epoch()) - read;
-        if (!this->store_clock_offset || offset < *this->store_clock_offset) {
-            this->store_clock_offset = offset;
-        }
+    void observe_store_time(std::uint64_t era, milliseconds read) {
+        this->clock.observe(era, read, time_since_boot());
     }
 
-    std::optional<milliseconds> store_time() const {
-        if (!this->store_clock_offset) {
-            return std::nullopt;
-        }
-        return std::chrono::duration_cast<milliseconds>(boot_clock::now().time_since_epoch()) -
-               *this->store_clock_offset;
+    std::optional<milliseconds> store_time() const { return this->clock.time(time_since_boot()); }
+
+    store_revision condition(std::string_view table, std::string_view key) const {
+        auto const* row = this->replica.find(table, key);
+        bool const is_known = row != nullptr && row->revision.era == this->store_era;
+        return is_known ? row->revision : store_revision(this->store_era, 0);
     }
 
     asio::awaitable<commit_outcome> commit(std::vector<replica_row> rows, commit_path path) {
         auto outcome = co_await this->write(rows, path);
         if (auto const* done = std::get_if<commit_done>(&outcome)) {
-            this->observe_store_time(done->store_time);
+            this->observe_store_time(done->revision.era, done->store_time);
             for (auto& row : rows) {
                 row.revision = done->revision;
             }
@@ -159,6 +163,14 @@
             co_return write_commit_outcome(
                 error{result_code::platform_unavailable, "this node has lost the store"});
         }
+        // A revision of an earlier era may have been given out again for another content.
+        bool const is_outdated = std::ranges::any_of(
+            *rows, [&self](replica_row const& row) { return row.revision.era < self->store_era; });
+        if (is_outdated) {
+            co_return write_commit_outcome(
+                error{result_code::platform_era_ended,
+                      "the condition is from an earlier era of the store"});
+        }
         co_return write_commit_outcome(co_await self->writer.write_combined(std::move(*rows)));
     }
 
@@ -195,20 +207,21 @@
 
     asio::io_context& context;
     row_replica replica;
+    store_clock clock;
     std::function<void()> handle_change;
 
 private:
     void add_feed(std::string const& table, milliseconds changes_wait) {
         table_feed::handlers callbacks;
-        callbacks.replace = [this, table](std::vector<replica_row> rows, std::uint64_t revision) {
+        callbacks.replace = [this, table](std::vector<replica_row> rows, store_revision revision) {
             if (this->replica.replace_table(table, std::move(rows), revision) ||
                 !this->has_published) {
                 this->publish();
             }
         };
         callbacks.apply = [this](std::vector<replica_row> rows) { this->apply(std::move(rows)); };
-        callbacks.observe_store_time = [this](milliseconds read) {
-            this->observe_store_time(read);
+        callbacks.observe_store_time = [this](std::uint64_t era, milliseconds read) {
+            this->observe_store_time(era, read);
         };
         // Nodes that wait here for changes select another source at once.
         callbacks.store_lost = [this] { this->query_handler.notify(); };
@@ -325,24 +338,36 @@
         }
         // A node that the store turned away since its start learns the clock from others.
         if (answer->store_time) {
-            this->observe_store_time(*answer->store_time);
+            this->observe_store_time(answer->clock_era, *answer->store_time);
         }
+        bool is_changed = this->apply_rows(answer->rows);
         for (auto const& [table, revision] : answer->covered) {
-            auto const feed = this->feeds.find(table);
-            if (feed != this->feeds.end()) {
-                feed->second->advance_to(revision);
-            }
+            is_changed |= this->advance(table, revision);
+        }
+        if (is_changed) {
+            this->publish();
         }
         if (!answer->rows.empty()) {
             log::write(log::level::info, "rows_learnt_from_node",
                        {{"ip", peer.ip},
                         {"rows", static_cast<std::int64_t>(answer->rows.size())},
                         {"current", answer->is_current}});
-            this->apply(answer->rows);
             co_await this->pause(peer_batch_pause);
         }
     }
 
+    // Notes that a table's rows have been received up to a revision. Returns whether rows were
+    // removed with it.
+    bool advance(std::string const& table, store_revision revision) {
+        auto const feed = this->feeds.find(table);
+        if (feed == this->feeds.end()) {
+            return false;
+        }
+        this->observe_era(revision.era);
+        feed->second->advance_to(revision);
+        return this->replica.complete_table(table, revision);
+    }
+
     // Returns the node's response, or no value on failure. The result is recorded for later source
     // selection.
     asio::awaitable<std::optional<row_page>> exchange(peer_source peer, row_query query) {
@@ -425,14 +450,19 @@
     }
 
     void apply(std::vector<replica_row> rows) {
+        if (this->apply_rows(std::move(rows))) {
+            this->publish();
+        }
+    }
+
+    // Returns whether any row was newer than the one that the replica held.
+    bool apply_rows(std::vector<replica_row> rows) {
         bool is_changed = false;
         for (auto& row : rows) {
             this->log_if_older(row);
             is_changed |= this->replica.apply(std::move(row));
         }
-        if (is_changed) {
-            this->publish();
-        }
+        return is_changed;
     }
 
     // A row that is taken for old although its content differs is either late or from a store whose
@@ -443,8 +473,10 @@
             log::write(log::level::info, "row_older_than_held",
                        {{"table", row.table},
                         {"key", row.key},
-                        {"revision", static_cast<std::int64_t>(row.revision)},
-                        {"held", static_cast<std::int64_t>(held->revision)}});
+                        {"era", static_cast<std::int64_t>(row.revision.era)},
+                        {"revision", static_cast<std::int64_t>(row.revision.number)},
+                        {"held_era", static_cast<std::int64_t>(held->revision.era)},
+                        {"held", static_cast<std::int64_t>(held->revision.number)}});
         }
     }
 
@@ -481,9 +513,8 @@
     row_query_handler query_handler;
     row_writer writer;
     bool has_published = false;
-    /// The latest era that a response of the store has named.
+    /// The latest era that the store or another node has named.
     std::uint64_t store_era = 0;
-    std::optional<milliseconds> store_clock_offset;
     fallback_peer_selector search;
     random_source random = make_random_source();
 };
@@ -520,6 +551,14 @@
     return this->self->is_initial_read_over();
 }
 
+store_revision fleet_sync::condition(std::string_view table, std::string_view key) const {
+    return this->self->condition(table, key);
+}
+
+store_clock const& fleet_sync::clock() const {
+    return this->self->clock;
+}
+
 row_replica const& fleet_sync::rows() const {
     return this->self->replica;
 }
--- a/libraries/sidecar/fleet_sync.h
+++ b/libraries/sidecar/fleet_sync.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace peridot {
@@ -25,6 +26,7 @@
 class connection_pool;
 class row_replica;
 class store_client;
+class store_clock;
 struct sidecar_settings;
 
 /// Keeps this node's replica of the fleet's rows up to date, either from the store's feed or from a
@@ -51,6 +53,10 @@
     /// the regular source first.
     void request_configuration(std::string const& ip, std::uint64_t version);
 
+    /// The revision on which the next write of a row has to be conditional. A row that was read in
+    /// an earlier era of the store counts as missing: if the store has it, the conflict shows it.
+    store_revision condition(std::string_view table, std::string_view key) const;
+
     /// Writes rows in one transaction, on the condition that they have the given revisions. Written
     /// and conflicting rows are applied to the replica.
     boost::asio::awaitable<commit_outcome> commit(std::vector<replica_row> rows, commit_path path);
@@ -63,6 +69,8 @@
     /// knows it.
     std::optional<milliseconds> store_time() const;
 
+    store_clock const& clock() const;
+
     /// Responds to another node's row query as soon as newer rows than it holds are available or
     /// its wait time has elapsed.
     boost::asio::awaitable<http_response> answer_rows(http_request request);
--- a/libraries/sidecar/replica_row_json.cpp
+++ b/libraries/sidecar/replica_row_json.cpp
@@ -14,21 +14,35 @@
     row.table = object.at("table").as_string();
     row.key = object.at("key").as_string();
     row.value = object.at("value").as_string();
-    row.revision = object.at("revision").to_number<std::uint64_t>();
+    row.revision = read_revision(object);
     row.is_removed = object.at("removed").as_bool();
     return row;
 }
 
 } // namespace
 
+void add_revision(json::object& object, store_revision revision) {
+    object["revision"] = revision.number;
+    if (revision.era != 0) {
+        object["era"] = revision.era;
+    }
+}
+
+store_revision read_revision(json::object const& object) {
+    auto const* era = object.if_contains("era");
+    return {era == nullptr ? 0 : era->to_number<std::uint64_t>(),
+            object.at("revision").to_number<std::uint64_t>()};
+}
+
 json::array to_json(std::vector<replica_row> const& rows) {
     json::array list;
     for (auto const& row : rows) {
-        list.push_back({{"table", row.table},
-                        {"key", row.key},
-                        {"value", row.value},
-                        {"revision", row.revision},
-                        {"removed", row.is_removed}});
+        json::object written{{"table", row.table},
+                             {"key", row.key},
+                             {"value", row.value},
+                             {"removed", row.is_removed}};
+        add_revision(written, row.revision);
+        list.push_back(std::move(written));
     }
     return list;
 }
--- a/libraries/sidecar/replica_row_json.h
+++ b/libraries/sidecar/replica_row_json.h
@@ -8,6 +8,12 @@
 
 namespace peridot {
 
+/// Adds a revision to a message between nodes. The era is left out if the store names none.
+void add_revision(boost::json::object& object, store_revision revision);
+
+/// Throws unless the object holds a revision.
+store_revision read_revision(boost::json::object const& object);
+
 /// Encodes rows for messages between nodes.
 boost::json::array to_json(std::vector<replica_row> const& rows);
 
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -4,6 +4,7 @@
 #include "mesh/rollout_controller.h"
 #include "mesh/rollout_plan.h"
 #include "mesh/row_replica.h"
+#include "mesh/store_clock.h"
 #include "mesh/version_share.h"
 #include "moves/evidence_aggregator.h"
 #include "moves/evidence_report.h"
@@ -19,6 +20,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -35,6 +37,8 @@
 constexpr milliseconds short_period{80};
 constexpr double large_share = 0.2;
 constexpr milliseconds idle_period{500};
+// Time for a lost record to be written by one node and to be read by the others.
+constexpr milliseconds restore_interval{1000};
 
 } // namespace
 
@@ -51,6 +55,8 @@
         /// Whether a step or the completion is being written.
         bool is_step_pending = false;
         std::uint64_t sequence = 0;
+        /// The start of the roll-out that the controller's plan is based on.
+        milliseconds planned_start{0};
     };
 
     implementation(asio::io_context& io, connection_pool& pool, fleet_sync& sync,
@@ -85,6 +91,7 @@
 
     // Passes the version that the gate has to refuse to the gate if it has changed.
     void update_blocked_version() {
+        this->is_record_checked = false;
         auto const recorded = this->recorded_rollout();
         auto blocked =
             recorded ? blocked_version(*recorded, this->is_condemned(*recorded)) : std::string();
@@ -172,6 +179,7 @@
 
     // Returns the time until the next step.
     asio::awaitable<milliseconds> step() {
+        co_await this->restore_record();
         auto const current = this->running_rollout();
         if (!current) {
             this->set_unfit(false);
@@ -189,6 +197,51 @@
         co_return next;
     }
 
+    // Writes the roll-out again if the store has lost it, or holds an earlier state of it, after it
+    // came back from a copy.
+    asio::awaitable<void> restore_record() {
+        auto const current = this->recorded_rollout();
+        if (this->is_record_checked || !current || !this->is_record_lost(*current)) {
+            this->is_record_checked = true;
+            this->lost_since.reset();
+            co_return;
+        }
+        auto const now = std::chrono::steady_clock::now();
+        this->lost_since = this->lost_since.value_or(now);
+        if (now - *this->lost_since < this->rank() * restore_interval) {
+            co_return;
+        }
+        log::write(log::level::warning, "rollout_recorded_again",
+                   {{"service", current->service},
+                    {"version", current->to},
+                    {"status", encode_rollout_status(*current)}});
+        co_await this->write(*current);
+    }
+
+    // A roll-out that has not begun has no record, and the operator has to write the order first.
+    bool is_record_lost(rollout const& current) const {
+        bool const has_begun =
+            current.started.count() != 0 || current.phase != rollout_phase::running;
+        bool const is_ordered =
+            current.ordered_at.era >= this->fleet.rows().era(store_keys::operator_table);
+        return has_begun && is_ordered &&
+               peridot::recorded_rollout(this->fleet.rows(), this->service) != current;
+    }
+
+    // The nodes of the service that come before this one. Each waits for those before it, so that
+    // one of them writes.
+    int rank() const {
+        auto const view = this->views.load();
+        auto const found = view->members.find(this->service);
+        return found == view->members.end()
+                   ? 0
+                   : static_cast<int>(
+                         std::ranges::count_if(found->second, [this](member const& other) {
+                             return other.instance < this->instance &&
+                                    other.target.state != target_state::gone;
+                         }));
+    }
+
     // A node that is the first member but lacks the store's clock leaves the roll-out to the next
     // member, which the others find in the same way when this node does not accept their evidence.
     std::optional<member> choose_steering_member() {
@@ -289,12 +342,16 @@
             this->begin(current, *now);
             co_return;
         }
+        auto const& clock = this->fleet.clock();
+        current.started = clock.convert(current.started_era, current.started);
+        current.started_era = clock.era();
         if (this->is_condemned(current)) {
             co_await this->take_version_back(current);
             co_return;
         }
         auto& tracked = this->state_for(current);
-        if (!tracked.controller) {
+        if (!tracked.controller || tracked.planned_start != current.started) {
+            tracked.planned_start = current.started;
             tracked.controller.emplace(current, this->instance, this->limits);
         }
         auto const decided = tracked.controller->decide(current, tracked.aggregator.totals(), *now);
@@ -352,6 +409,7 @@
 
     void begin(rollout next, milliseconds now) {
         next.started = now;
+        next.started_era = this->fleet.clock().era();
         if (next.from.empty()) {
             next.from = this->version_in_force(next);
         }
@@ -404,10 +462,10 @@
         std::string const status_key = std::string(store_keys::rollout_prefix) + next.service;
         std::vector<replica_row> rows;
         rows.push_back({std::string(fleet_keys::table), key, encode_rollout(next),
-                        this->revision_of(fleet_keys::table, key), false});
+                        this->fleet.condition(fleet_keys::table, key), false});
         rows.push_back({std::string(store_keys::status_table), status_key,
                         encode_rollout_status(next),
-                        this->revision_of(store_keys::status_table, status_key), false});
+                        this->fleet.condition(store_keys::status_table, status_key), false});
         auto const outcome = co_await this->fleet.commit(std::move(rows), commit_path::direct);
         if (std::holds_alternative<commit_done>(outcome)) {
             log::write(log::level::info, "rollout_step",
@@ -424,11 +482,6 @@
                                                  : describe(*failed)}});
     }
 
-    std::uint64_t revision_of(std::string_view table, std::string_view key) const {
-        auto const* row = this->fleet.rows().find(table, key);
-        return row == nullptr ? 0 : row->revision;
-    }
-
     asio::io_context& context;
     rollout_channel channel;
     fleet_sync& fleet;
@@ -440,7 +493,11 @@
     std::uint64_t incarnation;
     /// The version that the gate refuses; empty for none.
     std::string blocked;
-    std::map<std::uint64_t, tracked_rollout> states;
+    std::map<store_revision, tracked_rollout> states;
+    /// Whether the store is known to hold the roll-out as this node knows it.
+    bool is_record_checked = false;
+    /// Since when the store is known not to hold it.
+    std::optional<steady_time> lost_since;
     /// Whether this node should steer a roll-out and lacks what it needs for that.
     bool is_unfit = false;
 
--- a/libraries/sidecar/row_exchange_message.cpp
+++ b/libraries/sidecar/row_exchange_message.cpp
@@ -19,10 +19,13 @@
 constexpr std::string_view rows_path = "/rows";
 constexpr std::string_view revisions_path = "/revisions";
 constexpr std::string_view wait_parameter = "hold";
+// Follows the name of a table in the parameter with the era of its revision.
+constexpr std::string_view era_suffix = ".era";
 // A long-polling query occupies a connection, so the wait time is limited.
 constexpr milliseconds max_wait_limit{5000};
 constexpr unsigned status_ok = 200;
 constexpr std::string_view store_time_field = "Peridot-Store-Time";
+constexpr std::string_view clock_era_field = "Peridot-Store-Time-Era";
 constexpr std::string_view encoding_field = "Content-Encoding";
 constexpr std::string_view zstandard_encoding = "zstd";
 // A configuration with many routes takes long to transfer on a link of 10 Mbit/s; compressing short
@@ -52,7 +55,11 @@
     request.target +=
         "?" + std::string(wait_parameter) + "=" + std::to_string(query.max_wait.count());
     for (auto const& [table, revision] : query.held) {
-        request.target += "&" + table + "=" + std::to_string(revision);
+        request.target += "&" + table + "=" + std::to_string(revision.number);
+        if (revision.era != 0) {
+            request.target +=
+                "&" + table + std::string(era_suffix) + "=" + std::to_string(revision.era);
+        }
     }
     return request;
 }
@@ -76,8 +83,11 @@
             query.max_wait = std::min(
                 max_wait_limit, milliseconds(std::min<std::uint64_t>(
                                     *read, static_cast<std::uint64_t>(max_wait_limit.count()))));
+        } else if (parameter.key.ends_with(era_suffix)) {
+            auto const table = parameter.key.substr(0, parameter.key.size() - era_suffix.size());
+            query.held[table].era = *read;
         } else {
-            query.held[parameter.key] = *read;
+            query.held[parameter.key].number = *read;
         }
     }
     return query;
@@ -85,19 +95,28 @@
 
 http_response write_row_page(row_page const& page) {
     json::object covered;
+    json::object eras;
     for (auto const& [table, revision] : page.covered) {
-        covered[table] = revision;
+        covered[table] = revision.number;
+        if (revision.era != 0) {
+            eras[table] = revision.era;
+        }
+    }
+    json::object written{{"covered", std::move(covered)},
+                         {"current", page.is_current},
+                         {"rows", to_json(page.rows)}};
+    // Without eras, the message is the one of earlier releases.
+    if (!eras.empty()) {
+        written["eras"] = std::move(eras);
     }
     http_response answer;
-    answer.body = json::serialize(json::object{{"covered", std::move(covered)},
-                                               {"current", page.is_current},
-                                               {"rows", to_json(page.rows)}});
+    answer.body = json::serialize(written);
     if (answer.body.size() >= min_compressed_bytes) {
         answer.body = compress(answer.body);
         answer.headers.set(std::string(encoding_field), std::string(zstandard_encoding));
     }
     if (page.store_time) {
-        add_store_time(answer, *page.store_time);
+        add_store_time(answer, *page.store_time, page.clock_era);
     }
     return answer;
 }
@@ -117,7 +136,12 @@
         auto const parsed = json::parse(value(text));
         auto const& object = parsed.as_object();
         for (auto const& [table, revision] : object.at("covered").as_object()) {
-            page.covered[std::string(table)] = revision.to_number<std::uint64_t>();
+            page.covered[std::string(table)].number = revision.to_number<std::uint64_t>();
+        }
+        if (auto const* eras = object.if_contains("eras")) {
+            for (auto const& [table, era] : eras->as_object()) {
+                page.covered[std::string(table)].era = era.to_number<std::uint64_t>();
+            }
         }
         page.is_current = object.at("current").as_bool();
         page.rows = read_replica_rows(object.at("rows"));
@@ -128,12 +152,16 @@
     if (auto const time = number(answer.headers.value(store_time_field));
         time && *time <= static_cast<std::uint64_t>(milliseconds::max().count())) {
         page.store_time = milliseconds(*time);
+        page.clock_era = number(answer.headers.value(clock_era_field)).value_or(0);
     }
     return page;
 }
 
-void add_store_time(http_response& answer, milliseconds store_time) {
+void add_store_time(http_response& answer, milliseconds store_time, std::uint64_t era) {
     answer.headers.set(std::string(store_time_field), std::to_string(store_time.count()));
+    if (era != 0) {
+        answer.headers.set(std::string(clock_era_field), std::to_string(era));
+    }
 }
 
 } // namespace peridot
--- a/libraries/sidecar/row_exchange_message.h
+++ b/libraries/sidecar/row_exchange_message.h
@@ -6,6 +6,7 @@
 #include "sidecar/row_page.h"
 #include "sidecar/row_query.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace peridot {
@@ -21,7 +22,7 @@
 /// Rejects a page if any part of it is malformed.
 result<row_page> read_row_page(http_response const& answer);
 
-/// Adds the store's clock to a written page.
-void add_store_time(http_response& answer, milliseconds store_time);
+/// Adds the store's clock in the given era to a written page.
+void add_store_time(http_response& answer, milliseconds store_time, std::uint64_t era);
 
 } // namespace peridot
--- a/libraries/sidecar/row_page.h
+++ b/libraries/sidecar/row_page.h
@@ -4,6 +4,7 @@
 #include "mesh/replica_row.h"
 #include "sidecar/row_query.h"
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -20,6 +21,8 @@
     /// The store's clock when the page was written; no value if the responding node does not know
     /// it.
     std::optional<milliseconds> store_time;
+    /// The era of the store's clock.
+    std::uint64_t clock_era = 0;
 
     bool operator==(row_page const&) const = default;
 };
--- a/libraries/sidecar/row_query.h
+++ b/libraries/sidecar/row_query.h
@@ -1,15 +1,15 @@
 #pragma once
 
 #include "core/time.h"
+#include "mesh/store_revision.h"
 
-#include <cstdint>
 #include <map>
 #include <string>
 
 namespace peridot {
 
 /// For each table, the revision up to which a node holds all rows.
-using table_revisions = std::map<std::string, std::uint64_t, std::less<>>;
+using table_revisions = std::map<std::string, store_revision, std::less<>>;
 
 /// A query for rows that one node sends to another.
 struct row_query {
--- a/libraries/sidecar/row_query_handler.cpp
+++ b/libraries/sidecar/row_query_handler.cpp
@@ -85,9 +85,9 @@
     co_await this->self->wait_for_changes(query);
     http_response response = this->self->write_page(query);
     // The clock is not part of the page, which is encoded once for several nodes.
-    auto const store_time = this->self->state_of_copy().store_time;
-    if (store_time && !query.is_revisions_only) {
-        add_store_time(response, *store_time);
+    auto const state = this->self->state_of_copy();
+    if (state.store_time && !query.is_revisions_only) {
+        add_store_time(response, *state.store_time, state.clock_era);
     }
     co_return response;
 }
--- a/libraries/sidecar/row_query_handler.h
+++ b/libraries/sidecar/row_query_handler.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -25,6 +26,8 @@
         bool is_current = false;
         /// The store's clock; no value if this node does not know it.
         std::optional<milliseconds> store_time;
+        /// The era of the store's clock.
+        std::uint64_t clock_era = 0;
     };
     using state_function = std::function<copy_state()>;
 
--- a/libraries/sidecar/table_feed.cpp
+++ b/libraries/sidecar/table_feed.cpp
@@ -63,7 +63,7 @@
 
     asio::awaitable<step_kind> read_snapshot() {
         std::vector<replica_row> rows;
-        std::uint64_t as_of = 0;
+        store_revision as_of;
         std::string from;
         for (;;) {
             auto const deadline = std::chrono::steady_clock::now() + read_timeout;
@@ -72,10 +72,14 @@
                 this->record_failure(failure(page), deadline);
                 co_return step_kind::failed;
             }
-            this->record_success(value(page).store_time);
+            this->record_success(value(page));
             if (from.empty()) {
                 as_of = value(page).revision;
             }
+            if (value(page).revision.era != as_of.era) {
+                // The store came back from a copy meanwhile, so the parts do not belong together.
+                co_return step_kind::no_changes;
+            }
             auto more = to_replica_rows(std::move(value(page).rows));
             std::ranges::move(more, std::back_inserter(rows));
             if (!value(page).has_more || rows.empty()) {
@@ -85,11 +89,12 @@
             from = rows.back().key + '\0';
         }
         this->needs_snapshot = false;
-        if (as_of < this->revision) {
+        if (as_of.number < this->revision.number) {
             log::write(log::level::warning, "store_revision_fell",
                        {{"table", this->table},
-                        {"revision", static_cast<std::int64_t>(as_of)},
-                        {"held", static_cast<std::int64_t>(this->revision)}});
+                        {"era", static_cast<std::int64_t>(as_of.era)},
+                        {"revision", static_cast<std::int64_t>(as_of.number)},
+                        {"held", static_cast<std::int64_t>(this->revision.number)}});
         }
         this->revision = std::max(this->revision, as_of);
         this->callbacks.replace(std::move(rows), as_of);
@@ -100,14 +105,20 @@
         auto const now = std::chrono::steady_clock::now();
         auto const wait = role == store_role::leading ? this->leading_wait(now) : relying_wait;
         auto const deadline = now + wait + max_round_trip;
-        auto page = co_await this->store.changes(this->table, this->revision, wait, deadline);
+        auto const after = this->revision;
+        auto page = co_await this->store.changes(this->table, after.number, wait, deadline);
         if (!is_ok(page)) {
             this->record_failure(failure(page), deadline);
             this->needs_snapshot = failure(page).code == result_code::platform_history_gone;
             // The store is available; only its history does not reach back far enough.
             co_return this->needs_snapshot ? step_kind::no_changes : step_kind::failed;
         }
-        this->record_success(value(page).store_time);
+        this->record_success(value(page));
+        if (value(page).revision.era != after.era) {
+            // The changes are those after a position of another era, so some may be missing.
+            this->needs_snapshot = true;
+            co_return step_kind::no_changes;
+        }
         this->revision = std::max(this->revision, value(page).revision);
         bool const has_rows = !value(page).rows.empty();
         this->callbacks.apply(to_replica_rows(std::move(value(page).rows)));
@@ -140,7 +151,7 @@
         }
     }
 
-    void record_success(milliseconds store_time) {
+    void record_success(store_page const& page) {
         this->responded_at = std::chrono::steady_clock::now();
         this->is_silent = false;
         this->backoff.reset();
@@ -148,7 +159,7 @@
             this->failing_since.reset();
             log::write(log::level::info, "store_regained", {{"table", this->table}});
         }
-        this->callbacks.observe_store_time(store_time);
+        this->callbacks.observe_store_time(page.revision.era, page.store_time);
     }
 
     milliseconds time_since_response(steady_time now) const {
@@ -160,7 +171,7 @@
             return false;
         }
         // Without any rows there is no reason to wait before falling back to another source.
-        bool const is_immediate = this->revision == 0 || this->is_silent;
+        bool const is_immediate = this->revision.number == 0 || this->is_silent;
         return is_immediate || now - *this->failing_since >= outage_threshold;
     }
 
@@ -175,7 +186,9 @@
     milliseconds changes_wait;
     handlers callbacks;
     bool needs_snapshot = true;
-    std::uint64_t revision = 0;
+    store_revision revision;
+    /// The latest era that the store is known to be in.
+    std::uint64_t store_era = 0;
     /// Time of the store's last response; the start of the feed before the first one.
     steady_time responded_at = std::chrono::steady_clock::now();
     std::optional<steady_time> failing_since;
@@ -197,16 +210,22 @@
     return this->self->step(role);
 }
 
-void table_feed::advance_to(std::uint64_t revision) {
-    this->self->needs_snapshot &= revision == 0;
+void table_feed::advance_to(store_revision revision) {
+    bool const is_current_era = revision.era >= this->self->store_era;
+    this->self->needs_snapshot &= revision.number == 0 || !is_current_era;
     this->self->revision = std::max(this->self->revision, revision);
 }
 
+void table_feed::observe_era(std::uint64_t era) {
+    this->self->store_era = std::max(this->self->store_era, era);
+    this->self->needs_snapshot |= this->self->revision.era < era;
+}
+
 bool table_feed::has_snapshot() const {
-    return !this->self->needs_snapshot || this->self->revision > 0;
+    return !this->self->needs_snapshot || this->self->revision.number > 0;
 }
 
-std::uint64_t table_feed::revision() const {
+store_revision table_feed::revision() const {
     return this->self->revision;
 }
 
--- a/libraries/sidecar/table_feed.h
+++ b/libraries/sidecar/table_feed.h
@@ -8,7 +8,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,10 +23,10 @@
     /// Receivers of the rows and of the store's clock.
     struct handlers {
         /// Called with all rows of the table as of a revision.
-        std::function<void(std::vector<replica_row>, std::uint64_t revision)> replace;
+        std::function<void(std::vector<replica_row>, store_revision revision)> replace;
         /// Called with rows that have changed.
         std::function<void(std::vector<replica_row>)> apply;
-        std::function<void(milliseconds)> observe_store_time;
+        std::function<void(std::uint64_t era, milliseconds)> observe_store_time;
         /// Called when the store has stopped responding.
         std::function<void()> store_lost;
     };
@@ -50,13 +49,17 @@
     boost::asio::awaitable<step_kind> step(store_role role);
 
     /// Advances to a revision up to which the rows were received from another source.
-    void advance_to(std::uint64_t revision);
+    void advance_to(store_revision revision);
+
+    /// Notes that the store is in the given era. The table is read as a whole if its rows are those
+    /// of an earlier one.
+    void observe_era(std::uint64_t era);
 
     /// Whether the table has been read. An empty table may have no revision.
     bool has_snapshot() const;
 
     /// The revision up to which the table's rows have been read.
-    std::uint64_t revision() const;
+    store_revision revision() const;
 
     /// Whether the store has not responded for some time.
     bool is_unavailable(steady_time now) const;
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -94,6 +94,7 @@
     void rows_changed() {
         // The source of the rows may also be able to write the record.
         this->retry.cancel();
+        this->check_record();
         auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
         if (row == nullptr || this->tracker.current()) {
             return;
@@ -102,7 +103,7 @@
         if (!is_ok(recorded) || value(recorded).ip != this->settings.ip) {
             return;
         }
-        this->recorded_text = encode_member(value(recorded));
+        this->set_recorded(encode_member(value(recorded)), row->revision.era);
         bool const is_restored =
             this->tracker.restore(value(recorded).target) == target_change::updated;
         this->observe_awaited_target();
@@ -118,6 +119,27 @@
     asio::io_context& context;
 
 private:
+    // The store may have lost the record, or hold an earlier one, when it came back from a copy.
+    void check_record() {
+        auto const era = this->fleet.rows().era(fleet_keys::table);
+        if (!this->tracker.current() || era <= this->recorded_era) {
+            return;
+        }
+        auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
+        this->set_recorded(row == nullptr ? std::string() : row->value, era);
+        if (this->recorded_text != this->current_record()) {
+            log::write(log::level::info, "target_recorded_again",
+                       {{"target", this->tracker.current()->id},
+                        {"state", std::string(name(this->tracker.current()->state))}});
+            this->start_recording();
+        }
+    }
+
+    void set_recorded(std::string text, std::uint64_t era) {
+        this->recorded_text = std::move(text);
+        this->recorded_era = era;
+    }
+
     static asio::awaitable<void> restore(std::shared_ptr<implementation> self) {
         log::write(log::level::info, "target_restored",
                    {{"target", self->tracker.current()->id},
@@ -196,13 +218,14 @@
         }
         while (self->recorded_text != self->current_record()) {
             std::string const text = self->current_record();
-            auto const* row = self->fleet.rows().find(fleet_keys::table, self->key());
             std::vector<replica_row> rows;
             rows.push_back({std::string(fleet_keys::table), self->key(), text,
-                            row == nullptr ? std::uint64_t{0} : row->revision, false});
+                            self->fleet.condition(fleet_keys::table, self->key()), false});
             auto const outcome = co_await self->fleet.commit(std::move(rows), commit_path::shared);
-            if (std::holds_alternative<commit_done>(outcome)) {
-                self->recorded_text = text;
+            if (auto const* done = std::get_if<commit_done>(&outcome)) {
+                self->set_recorded(text, done->revision.era);
+                // The answer may have been on its way while the store came back from a copy.
+                self->check_record();
                 backoff = milliseconds(0);
                 continue;
             }
@@ -219,7 +242,8 @@
     void resolve_conflict(commit_conflict const& conflict, std::string const& text) {
         for (auto const& row : conflict.rows) {
             if (row.key == this->key() && row.value == text) {
-                this->recorded_text = text;
+                this->set_recorded(text, row.revision.era);
+                this->check_record();
             }
         }
     }
@@ -249,7 +273,9 @@
     apply_function apply;
     target_tracker tracker;
     boot_time last_announcement;
+    /// The record that the store is known to hold, and the era in which it was read or written.
     std::string recorded_text;
+    std::uint64_t recorded_era = 0;
     asio::steady_timer retry;
     std::atomic<bool> is_recording{false};
     /// Whether a record of the target exists that the target has not confirmed to this process.
--- a/libraries/sidecar/view_builder.cpp
+++ b/libraries/sidecar/view_builder.cpp
@@ -1,14 +1,16 @@
 #include "sidecar/view_builder.h"
 
 #include "core/log.h"
+#include "mesh/member_history.h"
 #include "mesh/mesh_configuration.h"
+#include "mesh/rollout_history.h"
 #include "mesh/row_replica.h"
-#include "mesh/version_share.h"
 #include "platform/decoders.h"
 #include "sidecar/member_json.h"
 #include "sidecar/rollout_json.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridot {
 
@@ -25,7 +27,7 @@
         auto decoded = decode_configuration(row->value, handling);
         if (!is_ok(decoded) && this->accepts_unknown_values(failure(decoded))) {
             log::write(log::level::warning, "configuration_value_unknown",
-                       {{"revision", static_cast<std::int64_t>(row->revision)},
+                       {{"revision", static_cast<std::int64_t>(row->revision.number)},
                         {"reason", describe(failure(decoded))}});
             handling = unknown_values::read_as_strictest;
             decoded = decode_configuration(row->value, handling);
@@ -33,7 +35,7 @@
         if (!is_ok(decoded)) {
             ++this->refused_configurations;
             log::write(log::level::error, "configuration_refused",
-                       {{"revision", static_cast<std::int64_t>(row->revision)},
+                       {{"revision", static_cast<std::int64_t>(row->revision.number)},
                         {"reason", describe(failure(decoded))}});
             return;
         }
@@ -48,7 +50,7 @@
         this->has_unknown_values = handling == unknown_values::read_as_strictest;
         log::write(log::level::info, "configuration_in_force",
                    {{"version", static_cast<std::int64_t>(this->configuration->version())},
-                    {"revision", static_cast<std::int64_t>(row->revision)},
+                    {"revision", static_cast<std::int64_t>(row->revision.number)},
                     {"routes", static_cast<std::int64_t>(this->configuration->route_count())}});
     }
 
@@ -60,59 +62,53 @@
                (!this->configuration || this->has_unknown_values);
     }
 
-    // An address belongs to the node that registered it last; older records with the same address
-    // are stale.
-    static std::map<std::string, member> newest_by_address(row_replica const& rows) {
-        std::map<std::string, member> by_address;
+    std::vector<member> read_members(row_replica const& rows) {
+        std::vector<member> stored;
         for (auto const* row : rows.rows(fleet_keys::table, fleet_keys::member_prefix)) {
             auto decoded = decode_member(row->value);
             if (!is_ok(decoded)) {
                 log::write(log::level::warning, "member_row_unreadable", {{"key", row->key}});
                 continue;
             }
-            auto& record = value(decoded);
-            record.revision = row->revision;
-            auto const [position, is_new] = by_address.emplace(record.ip, record);
-            if (!is_new && position->second.revision < record.revision) {
-                position->second = record;
-            }
+            value(decoded).revision = row->revision;
+            stored.push_back(std::move(value(decoded)));
         }
-        return by_address;
+        return newest_by_address(this->members.update(stored, rows.era(fleet_keys::table)));
     }
 
-    // The state stored by the nodes is used only if it belongs to the operator's latest order.
-    static std::map<std::string, rollout, std::less<>> read_rollouts(row_replica const& rows) {
-        std::map<std::string, rollout, std::less<>> rollouts;
+    std::map<std::string, rollout, std::less<>> read_rollouts(row_replica const& rows) {
+        std::vector<rollout_history::stored_rollout> stored;
         for (auto const* row : rows.rows(store_keys::operator_table, store_keys::rollout_prefix)) {
             auto ordered = decode_rollout_order(row->value);
             if (!is_ok(ordered)) {
                 log::write(log::level::warning, "rollout_order_unreadable", {{"key", row->key}});
                 continue;
             }
-            auto& current = value(ordered);
-            current.order = row->revision;
-            auto const* state_row = rows.find(
-                fleet_keys::table, std::string(fleet_keys::rollout_prefix) + current.service);
-            if (state_row != nullptr) {
-                auto const state = decode_rollout(state_row->value);
-                if (is_ok(state) && value(state).order == current.order) {
-                    current = value(state);
-                } else if (is_ok(state)) {
-                    // The previous roll-out determines the version that is currently in force.
-                    current.from = resulting_version(value(state));
-                }
-            }
-            rollouts[current.service] = current;
+            value(ordered).order = row->revision;
+            value(ordered).ordered_at = row->revision;
+            auto recorded = recorded_rollout(rows, value(ordered).service);
+            stored.push_back({std::move(value(ordered)), std::move(recorded)});
         }
-        return rollouts;
+        return this->rollouts.update(stored, rows.era(store_keys::operator_table));
     }
 
     std::shared_ptr<mesh_configuration const> configuration;
-    std::uint64_t configuration_revision = 0;
+    store_revision configuration_revision;
     bool has_unknown_values = false;
     std::uint64_t refused_configurations = 0;
+    member_history members;
+    rollout_history rollouts;
 };
 
+std::optional<rollout> recorded_rollout(row_replica const& rows, std::string_view service) {
+    auto const* row = rows.find(fleet_keys::table,
+                                std::string(fleet_keys::rollout_prefix) + std::string(service));
+    auto recorded = row == nullptr
+                        ? result<rollout>(error{result_code::platform_record_malformed, {}})
+                        : decode_rollout(row->value);
+    return is_ok(recorded) ? std::optional(std::move(value(recorded))) : std::nullopt;
+}
+
 view_builder::view_builder() : self(std::make_unique<implementation>()) {}
 
 view_builder::~view_builder() = default;
@@ -123,13 +119,13 @@
     view->configuration = this->self->configuration;
     view->has_unknown_values = this->self->has_unknown_values;
     view->refused_configurations = this->self->refused_configurations;
-    for (auto& [ip, record] : implementation::newest_by_address(rows)) {
+    for (auto& record : this->self->read_members(rows)) {
         view->members[record.target.service].push_back(std::move(record));
     }
     for (auto& [service, members] : view->members) {
         std::ranges::sort(members, {}, &member::instance);
     }
-    view->rollouts = implementation::read_rollouts(rows);
+    view->rollouts = this->self->read_rollouts(rows);
     return view;
 }
 
--- a/libraries/sidecar/view_builder.h
+++ b/libraries/sidecar/view_builder.h
@@ -3,6 +3,7 @@
 #include "mesh/fleet_view.h"
 
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace peridot {
@@ -16,12 +17,17 @@
 inline constexpr std::string_view rollout_prefix = "rollout/";
 } // namespace fleet_keys
 
+/// Returns the progress of a service's roll-out as the nodes have recorded it in the store; no
+/// value if there is none or it cannot be read.
+std::optional<rollout> recorded_rollout(row_replica const& rows, std::string_view service);
+
 /// Builds the view that requests are routed by from the rows of the replica.
 ///
 /// A configuration that is malformed or older than the current one is rejected, and the current one
 /// stays in force. So does the current one if a new one has a value that this program does not
 /// know; only a node that holds no configuration which it knows in full takes the new one, and
-/// reads such values in the strictest way. Malformed member and roll-out rows are skipped.
+/// reads such values in the strictest way. Malformed member and roll-out rows are skipped. What the
+/// store has lost of members and roll-outs stays in the view (member_history, rollout_history).
 class view_builder {
 public:
     view_builder();
--- a/tests/sidecar/commit_message_test.cpp
+++ b/tests/sidecar/commit_message_test.cpp
@@ -21,7 +21,7 @@
 
 TEST(commit_message, outcomes_round_trip) {
     auto const done = round_trip(commit_done{9, milliseconds(1234)});
-    UNSIGNED_LONGS_EQUAL(9, std::get<commit_done>(done).revision);
+    UNSIGNED_LONGS_EQUAL(9, std::get<commit_done>(done).revision.number);
     LONGS_EQUAL(1234, std::get<commit_done>(done).store_time.count());
     auto const conflict = round_trip(commit_conflict{{{"peridot", "member/a", "other", 8, false}}});
     STRCMP_EQUAL("other", std::get<commit_conflict>(conflict).rows.at(0).value.c_str());
