tests: play a restored store with changes, restarts and lost writes

Eleven more plays with processes: revisions that pass the old ones before anyone reads, an older configuration shown for a moment, several restores in a row, nodes that the store does not serve, a node restarted in between, a target that left, a completion and a verdict in the lost seconds, a clock that goes back, lost responses around the restore, and many records at once.

--- a/tests/processes/store_restore/store_restore_test.cpp
+++ b/tests/processes/store_restore/store_restore_test.cpp
@@ -1,4 +1,3 @@
-#include "http/http_request.h"
 #include "processes/mesh_support/sidecar_fleet.h"
 #include "processes/support/http_caller.h"
 #include "processes/support/wait_until.h"
@@ -19,7 +18,6 @@
 namespace {
 
 constexpr unsigned status_ok = 200;
-constexpr unsigned status_not_found = 404;
 // Rows that the store writes between two versions of the configuration, so that the revisions
 // before a restore are clearly above those after it.
 constexpr int other_writes = 40;
@@ -96,10 +94,10 @@
         });
     }
 
-    void order_rollout(std::string const& version) {
+    void order_rollout(std::string const& version, int duration_s = 60) {
         this->fleet.store().put("op", "rollout/deposits",
-                                R"({"Service":"deposits","To":")" + version +
-                                    R"(","DurationS":60})");
+                                R"({"Service":"deposits","To":")" + version + R"(","DurationS":)" +
+                                    std::to_string(duration_s) + "}");
     }
 
     std::string status() {
@@ -173,3 +171,191 @@
     restore(*earlier);
     CHECK(wait_until_recorded(joined, "ready"));
 }
+
+// Guards against changes that are skipped for good, because the revisions of the new era passed the
+// old ones before any node read them.
+TEST(store_restore, new_configuration_is_in_force_once_revisions_have_passed_the_old_ones) {
+    write_other_rows();
+    auto const earlier = fleet.store().make_copy();
+    write_other_rows(5);
+    fleet.configure(2, 2);
+    CHECK(wait_until_in_force(1));
+    for (auto const* instance : instances) {
+        instance->node->send(SIGSTOP);
+    }
+    fleet.store().restore(*earlier);
+    fleet.configure(3, 3);
+    write_other_rows();
+    for (auto const* instance : instances) {
+        instance->node->send(SIGCONT);
+    }
+    CHECK(wait_until_in_force(2));
+}
+
+// Guards against an older configuration that is taken from the copy before the operator has written
+// the newer one again.
+TEST(store_restore, older_configuration_of_the_copy_is_not_taken) {
+    auto const earlier = fleet.store().make_copy();
+    fleet.configure(2, 2);
+    CHECK(wait_until_in_force(1));
+    restore(*earlier);
+    auto const until = std::chrono::steady_clock::now() + observation_time;
+    while (std::chrono::steady_clock::now() < until) {
+        CHECK(is_in_force(1));
+    }
+    fleet.configure(2, 2);
+    fleet.configure(3, 3);
+    CHECK(wait_until_in_force(2));
+}
+
+// Guards against an order that holds across one copy only.
+TEST(store_restore, new_configuration_is_in_force_after_several_restores) {
+    auto const earlier = fleet.store().make_copy();
+    for (std::uint64_t version = 2; version < 5; ++version) {
+        write_other_rows();
+        fleet.configure(version, version);
+        CHECK(wait_until_in_force(version - 1));
+        restore(*earlier);
+        fleet.configure(version, version);
+    }
+    fleet.configure(5, 5);
+    CHECK(wait_until_in_force(4));
+}
+
+// Guards against nodes that only other nodes can tell of the new era, and that hold rows of the old
+// one.
+TEST(store_restore, new_configuration_reaches_nodes_that_the_store_does_not_serve) {
+    instances.push_back(&fleet.add_with_unreachable_store("deposits"));
+    CHECK(wait_until_in_force(0));
+    auto const earlier = fleet.store().make_copy();
+    write_other_rows();
+    fleet.configure(2, 2);
+    CHECK(wait_until_in_force(1));
+    restore(*earlier);
+    fleet.configure(2, 2);
+    fleet.configure(3, 3);
+    CHECK(wait_until_in_force(2));
+}
+
+// Guards against a node that starts after the restore and takes an older configuration from a node
+// that is cut off, or none.
+TEST(store_restore, node_restarted_in_between_takes_the_new_configuration) {
+    auto const earlier = fleet.store().make_copy();
+    write_other_rows();
+    fleet.configure(2, 2);
+    CHECK(wait_until_in_force(1));
+    instances.back()->node->end();
+    restore(*earlier);
+    fleet.restart(*instances.back());
+    fleet.configure(2, 2);
+    CHECK(wait_until_in_force(1));
+    fleet.configure(3, 3);
+    CHECK(wait_until_in_force(2));
+}
+
+// Guards against new requests for a target whose leaving the store has lost: the copy shows it as
+// ready.
+TEST(store_restore, target_that_left_in_the_lost_seconds_gets_nothing) {
+    auto& left = add("deposits", {.availability_zone = "ariana"});
+    CHECK(wait_until([&] {
+        status_of(*instances.front(), "/get/1");
+        return left.target->run_count() > 0;
+    }));
+    auto const earlier = fleet.store().make_copy();
+    CHECK(left.target->deregister());
+    CHECK(wait_until_recorded(left, "gone"));
+    restore(*earlier);
+    CHECK(wait_until_recorded(left, "gone"));
+    std::this_thread::sleep_for(milliseconds(500));
+    auto const before = left.target->run_count();
+    for (int round = 0; round < 60; ++round) {
+        UNSIGNED_LONGS_EQUAL(status_ok, status_of(*instances.front(), "/get/1"));
+    }
+    UNSIGNED_LONGS_EQUAL(before, left.target->run_count());
+}
+
+// Guards against a completed roll-out that runs again: its old targets have stopped.
+TEST(store_restore, completion_in_the_lost_seconds_stays_and_is_recorded_again) {
+    auto& next = add("deposits", {.version = "v2", .availability_zone = "ariana"});
+    CHECK(wait_until_recorded(next, "ready"));
+    order_rollout("v2", 3);
+    CHECK(wait_until_status("running"));
+    auto const earlier = fleet.store().make_copy();
+    CHECK(wait_until([&] {
+        status_of(*instances.front(), "/get/1");
+        return status().find("complete") != std::string::npos;
+    }));
+    restore(*earlier);
+    auto const before = next.target->run_count();
+    for (int round = 0; round < 40; ++round) {
+        UNSIGNED_LONGS_EQUAL(status_ok, status_of(*instances.front(), "/get/1"));
+    }
+    UNSIGNED_LONGS_EQUAL(before + 40, next.target->run_count());
+    CHECK(wait_until_status("complete"));
+}
+
+// Guards against a verdict that is forgotten when its writer has gone and the operator's order gets
+// a new revision.
+TEST(store_restore, roll_back_stays_although_a_node_of_the_service_restarts) {
+    auto const earlier = fleet.store().make_copy();
+    auto& bad = roll_back_bad_version();
+    auto const before = bad.target->run_count();
+    instances.at(1)->node->end();
+    restore(*earlier);
+    fleet.restart(*instances.at(1));
+    order_rollout("v2");
+    CHECK(wait_until_status("rolled_back"));
+    CHECK(wait_until([&] { return status_of(*instances.at(1), "/get/1") == status_ok; }));
+    for (int round = 0; round < 40; ++round) {
+        status_of(*instances.at(1), "/get/1");
+    }
+    UNSIGNED_LONGS_EQUAL(before, bad.target->run_count());
+    CHECK(is_blocked(bad));
+}
+
+// Guards against a roll-out that stands still until the store's clock has caught up.
+TEST(store_restore, roll_out_goes_on_when_the_clock_goes_back) {
+    auto& next = add("deposits", {.version = "v2", .availability_zone = "ariana"});
+    CHECK(wait_until_recorded(next, "ready"));
+    order_rollout("v2", 6);
+    CHECK(wait_until_status("running"));
+    restore(*fleet.store().make_copy(), std::chrono::minutes(10));
+    CHECK(wait_until([&] {
+        status_of(*instances.front(), "/get/1");
+        return status().find("complete") != std::string::npos;
+    }));
+}
+
+// Guards against a record that is lost with the response to its write.
+TEST(store_restore, record_is_written_again_after_a_lost_response_around_the_restore) {
+    auto const earlier = fleet.store().make_copy();
+    fleet.store().set_losing_answers(true);
+    auto& joined = add("deposits", {.availability_zone = "ariana"});
+    auto& left = *instances.at(1);
+    left.target->deregister();
+    CHECK(wait_until_recorded(left, "gone"));
+    restore(*earlier);
+    fleet.store().set_losing_answers(false);
+    CHECK(wait_until_recorded(left, "gone"));
+    CHECK(wait_until_recorded(joined, "ready"));
+}
+
+// Guards against many writes when a whole fleet has to write its records again at once.
+TEST(store_restore, records_of_many_targets_are_written_again_in_few_transactions) {
+    auto const earlier = fleet.store().make_copy();
+    std::vector<mesh_instance*> joined;
+    for (int index = 0; index < 9; ++index) {
+        joined.push_back(&add("deposits", {.availability_zone = "ariana"}));
+    }
+    for (auto const* instance : joined) {
+        CHECK(wait_until_recorded(*instance, "ready"));
+    }
+    CHECK(wait_until([&] { return is_in_force(0) && fleet.store().waiting_feeds() <= 6; }));
+    auto const before = fleet.store().requested_transactions();
+    restore(*earlier);
+    for (auto const* instance : joined) {
+        CHECK(wait_until_recorded(*instance, "ready"));
+    }
+    // Some of them may not have found their follower yet and write by themselves.
+    CHECK(fleet.store().requested_transactions() - before <= 9);
+}
