soak: let the store come back from a copy

The drill is one of the faults: the copy is taken when the fault starts, the store is away for 400 ms, and the operator writes the configuration again 300 ms later.

--- a/tests/soak/soak_fault.h
+++ b/tests/soak/soak_fault.h
@@ -17,6 +17,7 @@
     store_unavailable,
     store_slow,
     store_loses_answers,
+    store_restored,
     store_link_delayed,
     store_link_reset,
     store_link_answers_dropped,
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -34,6 +34,9 @@
 constexpr milliseconds slow_work_time{1200};
 constexpr milliseconds normal_work_time{15};
 constexpr int lost_answer_count = 20;
+constexpr milliseconds restored_store_away{400};
+// Time after which the operator writes again what a restored store has lost.
+constexpr milliseconds operator_pause{300};
 // A deregistered target receives no new work after this.
 constexpr milliseconds drain_limit{2000};
 constexpr milliseconds replacement_delay{3500};
@@ -174,6 +177,10 @@
             this->fleet.store().set_losing_answers(true);
             return this->after(fault.duration,
                                [this] { this->fleet.store().set_losing_answers(false); });
+        case fault_kind::store_restored:
+            return this->after(fault.duration, [this, copy = this->fleet.store().make_copy()] {
+                this->restore_store(*copy);
+            });
         case fault_kind::store_link_delayed:
             return this->impair(*node.store_link, link_state::delayed, fault.duration);
         case fault_kind::store_link_reset:
@@ -207,6 +214,16 @@
         }
     }
 
+    // The store is away for a moment and comes back from a copy. The operator notices this and
+    // writes the configuration again.
+    void restore_store(processes::store_standin::copy const& earlier) {
+        this->fleet.store().set_unavailable(true);
+        this->fleet.store().restore(earlier);
+        this->after(restored_store_away, [this] { this->fleet.store().set_unavailable(false); });
+        this->after(restored_store_away + operator_pause,
+                    [this] { this->fleet.configure(this->version, this->version); });
+    }
+
     void impair(fault_proxy& link, link_state state, milliseconds duration) {
         link.set(state);
         this->after(duration, [&link] { link.set(link_state::normal); });
