sidecar: read a table at once when another call shows a later era

A feed call may wait for seconds on a connection that the store kept across its restore. The table is now read beside it as soon as any response names a later era. A lost roll-out is written in the background, so that its version is judged meanwhile, as for steps.

--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -120,6 +120,11 @@
         this->store_era = era;
         for (auto& [table, feed] : this->feeds) {
             feed->observe_era(era);
+            // The wait may last for seconds if the store kept the connection.
+            if (this->follows_store && feed->is_waiting_in_ended_era()) {
+                asio::co_spawn(this->context, read_again(this->shared_from_this(), *feed),
+                               asio::detached);
+            }
         }
     }
 
@@ -254,6 +259,11 @@
         }
     }
 
+    static asio::awaitable<void> read_again(std::shared_ptr<implementation> /*self*/,
+                                            table_feed& feed) {
+        co_await feed.read_again();
+    }
+
     asio::awaitable<void> wait_after_snapshot(table_feed const& feed) {
         // The members are in the other table, which is read concurrently.
         co_await this->pause(pause_after_snapshot);
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -179,7 +179,7 @@
 
     // Returns the time until the next step.
     asio::awaitable<milliseconds> step() {
-        co_await this->restore_record();
+        this->restore_record();
         auto const current = this->running_rollout();
         if (!current) {
             this->set_unfit(false);
@@ -199,23 +199,24 @@
 
     // Writes the roll-out again if the store has lost it, or holds an earlier state of it, after it
     // came back from a copy.
-    asio::awaitable<void> restore_record() {
+    void restore_record() {
         auto const current = this->recorded_rollout();
         if (this->is_record_checked || !current || !this->is_record_lost(*current)) {
             this->is_record_checked = true;
             this->lost_since.reset();
-            co_return;
+            return;
         }
         auto const now = std::chrono::steady_clock::now();
         this->lost_since = this->lost_since.value_or(now);
-        if (now - *this->lost_since < this->rank() * restore_interval) {
-            co_return;
+        bool const is_due = now - *this->lost_since >= this->rank() * restore_interval;
+        if (!is_due || this->state_for(*current).is_step_pending) {
+            return;
         }
         log::write(log::level::warning, "rollout_recorded_again",
                    {{"service", current->service},
                     {"version", current->to},
                     {"status", encode_rollout_status(*current)}});
-        co_await this->write(*current);
+        this->start_step(*current);
     }
 
     // A roll-out that has not begun has no record, and the operator has to write the order first.
--- a/libraries/sidecar/table_feed.cpp
+++ b/libraries/sidecar/table_feed.cpp
@@ -106,17 +106,20 @@
         auto const wait = role == store_role::leading ? this->leading_wait(now) : relying_wait;
         auto const deadline = now + wait + max_round_trip;
         auto const after = this->revision;
+        this->is_waiting = true;
         auto page = co_await this->store.changes(this->table, after.number, wait, deadline);
+        this->is_waiting = false;
         if (!is_ok(page)) {
             this->record_failure(failure(page), deadline);
-            this->needs_snapshot = failure(page).code == result_code::platform_history_gone;
+            bool const is_history_gone = failure(page).code == result_code::platform_history_gone;
+            this->needs_snapshot |= is_history_gone && after.era == this->revision.era;
             // The store is available; only its history does not reach back far enough.
-            co_return this->needs_snapshot ? step_kind::no_changes : step_kind::failed;
+            co_return is_history_gone ? step_kind::no_changes : step_kind::failed;
         }
         this->record_success(value(page));
         if (value(page).revision.era != after.era) {
             // The changes are those after a position of another era, so some may be missing.
-            this->needs_snapshot = true;
+            this->needs_snapshot |= this->revision.era < value(page).revision.era;
             co_return step_kind::no_changes;
         }
         this->revision = std::max(this->revision, value(page).revision);
@@ -186,6 +189,8 @@
     milliseconds changes_wait;
     handlers callbacks;
     bool needs_snapshot = true;
+    /// Whether a call waits for changes.
+    bool is_waiting = false;
     store_revision revision;
     /// The latest era that the store is known to be in.
     std::uint64_t store_era = 0;
@@ -221,6 +226,14 @@
     this->self->needs_snapshot |= this->self->revision.era < era;
 }
 
+bool table_feed::is_waiting_in_ended_era() const {
+    return this->self->is_waiting && this->self->needs_snapshot;
+}
+
+asio::awaitable<void> table_feed::read_again() {
+    co_await this->self->read_snapshot();
+}
+
 bool table_feed::has_snapshot() const {
     return !this->self->needs_snapshot || this->self->revision.number > 0;
 }
--- a/libraries/sidecar/table_feed.h
+++ b/libraries/sidecar/table_feed.h
@@ -55,6 +55,12 @@
     /// of an earlier one.
     void observe_era(std::uint64_t era);
 
+    /// Whether a step waits for changes after a position of an earlier era.
+    bool is_waiting_in_ended_era() const;
+
+    /// Reads the whole table beside a step that waits.
+    boost::asio::awaitable<void> read_again();
+
     /// Whether the table has been read. An empty table may have no revision.
     bool has_snapshot() const;
 
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -127,7 +127,7 @@
         }
         auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
         this->set_recorded(row == nullptr ? std::string() : row->value, era);
-        if (this->recorded_text != this->current_record()) {
+        if (this->recorded_text != this->current_record() && !this->is_recording) {
             log::write(log::level::info, "target_recorded_again",
                        {{"target", this->tracker.current()->id},
                         {"state", std::string(name(this->tracker.current()->state))}});
