--- a/libraries/mesh/store_revision.h
+++ b/libraries/mesh/store_revision.h
@@ -15,6 +15,8 @@
     constexpr store_revision(std::uint64_t number) : number(number) {} // NOLINT(*-explicit-*)
     constexpr store_revision(std::uint64_t era, std::uint64_t number) : era(era), number(number) {}
 
+    // The linter takes the zero of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(store_revision const&) const = default;
 
     /// Number of the copies that the store has come back from; 0 if the store does not name it.
