sidecar: write again the record of an awaited target, convert starts for others

Found by reading: a node that had read its target's record before the drill, and heard the target after it, took the lost record for written. And only nodes that know both clocks can convert the start of a roll-out, so they write it for nodes that started later.

--- a/libraries/mesh/member_history.cpp
+++ b/libraries/mesh/member_history.cpp
@@ -38,11 +38,13 @@
 
 // Revisions do not order a record that the store has lost.
 bool is_registered_later(member const& record, member const& other) {
-    bool const is_comparable = !is_lost(record) && !is_lost(other);
-    if (is_comparable || record.target.started_ms == other.target.started_ms) {
-        return is_comparable ? record.revision > other.revision : is_lost(other);
+    if (!is_lost(record) && !is_lost(other)) {
+        return record.revision > other.revision;
     }
-    return record.target.started_ms > other.target.started_ms;
+    if (record.target.started_ms != other.target.started_ms) {
+        return record.target.started_ms > other.target.started_ms;
+    }
+    return is_lost(other);
 }
 
 } // namespace
--- a/libraries/sidecar/rollout_steering.cpp
+++ b/libraries/sidecar/rollout_steering.cpp
@@ -218,7 +218,18 @@
                    {{"service", current->service},
                     {"version", current->to},
                     {"status", encode_rollout_status(*current)}});
-        this->start_step(*current);
+        this->start_step(this->on_current_clock(*current));
+    }
+
+    // The store's clock may go back with its rows. Nodes that started later know only the new one.
+    rollout on_current_clock(rollout current) const {
+        auto const& clock = this->fleet.clock();
+        auto const started = clock.convert(current.started_era, current.started);
+        if (started != current.started) {
+            current.started = started;
+            current.started_era = clock.era();
+        }
+        return current;
     }
 
     // A roll-out that has not begun has no record, and the operator has to write the order first.
@@ -228,7 +239,8 @@
         bool const is_ordered =
             current.ordered_at.era >= this->fleet.rows().era(store_keys::operator_table);
         return has_begun && is_ordered &&
-               peridot::recorded_rollout(this->fleet.rows(), this->service) != current;
+               peridot::recorded_rollout(this->fleet.rows(), this->service) !=
+                   this->on_current_clock(current);
     }
 
     // The nodes of the service that come before this one. Each waits for those before it, so that
@@ -345,9 +357,7 @@
             this->begin(current, *now);
             co_return;
         }
-        auto const& clock = this->fleet.clock();
-        current.started = clock.convert(current.started_era, current.started);
-        current.started_era = clock.era();
+        current = this->on_current_clock(std::move(current));
         if (this->is_condemned(current)) {
             co_await this->take_version_back(current);
             co_return;
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -216,6 +216,8 @@
         while (!self->fleet.is_initial_read_over()) {
             co_await self->pause(recording_poll_period);
         }
+        // The record that an earlier process wrote may be lost.
+        self->check_record();
         while (self->recorded_text != self->current_record()) {
             std::string const text = self->current_record();
             std::vector<replica_row> rows;
