mesh: recognize roll-outs by identity, and older orders of the copy

(1) Progress that a node wrote before it knew the order's position in the new era was taken for that of another order and would have been overwritten, even a completion; it is recognized by the order's identity now. The new unit test fails without this. (2) An older order in the copy is recognized by the progress beside it, which needs no memory of earlier orders, so a node that started between the two orders keeps the later one as well.

--- a/libraries/mesh/rollout_history.cpp
+++ b/libraries/mesh/rollout_history.cpp
@@ -17,7 +17,7 @@
 // Whether the order that was found is the one of a roll-out that is known already. In a later era,
 // the order may have another number.
 bool is_same_order(rollout const& known, rollout const& found) {
-    return known.ordered_at == found.ordered_at ||
+    return known.order == found.order || known.ordered_at == found.ordered_at ||
            (known.ordered_at.era < found.ordered_at.era && has_same_content(known, found));
 }
 
@@ -38,6 +38,16 @@
     return merged;
 }
 
+// Whether the order is one of the copy, and the store has lost a later one. The copy shows it with
+// the progress of an earlier era until the operator has written the later order again.
+bool is_before(rollout_history::stored_rollout const& stored, rollout const& known) {
+    auto const& ordered_at = stored.ordered.ordered_at;
+    auto const& recorded_at = stored.recorded->ordered_at;
+    bool const is_in_copy =
+        recorded_at.era < ordered_at.era && recorded_at.number == ordered_at.number;
+    return is_in_copy && recorded_at < known.ordered_at;
+}
+
 } // namespace
 
 std::map<std::string, rollout, std::less<>>
@@ -54,7 +64,7 @@
     return this->latest;
 }
 
-rollout rollout_history::resolve(stored_rollout const& stored) {
+rollout rollout_history::resolve(stored_rollout const& stored) const {
     auto const& ordered = stored.ordered;
     auto const found = this->latest.find(ordered.service);
     auto known = found == this->latest.end() ? std::nullopt : std::optional(found->second);
@@ -65,16 +75,9 @@
         known->ordered_at = ordered.ordered_at;
         return *known;
     }
-    if (known && this->is_earlier_order(ordered)) {
+    if (known && stored.recorded && is_before(stored, *known)) {
         return *known;
     }
-    if (known) {
-        auto& before = this->earlier[ordered.service];
-        before.push_back(*known);
-        if (before.size() > max_earlier) {
-            before.pop_front();
-        }
-    }
     if (stored.recorded && is_same_order(*stored.recorded, ordered)) {
         auto recorded = *stored.recorded;
         recorded.ordered_at = ordered.ordered_at;
@@ -90,16 +93,4 @@
     return next;
 }
 
-// A copy of the store may show the order before the latest one until the operator has written the
-// latest one again.
-bool rollout_history::is_earlier_order(rollout const& ordered) const {
-    auto const found = this->earlier.find(ordered.service);
-    return found != this->earlier.end() &&
-           std::ranges::any_of(found->second, [&](rollout const& before) {
-               return before.ordered_at.era < ordered.ordered_at.era &&
-                      before.ordered_at.number == ordered.ordered_at.number &&
-                      has_same_content(before, ordered);
-           });
-}
-
 } // namespace peridot
--- a/libraries/mesh/rollout_history.h
+++ b/libraries/mesh/rollout_history.h
@@ -3,7 +3,6 @@
 #include "mesh/rollout.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,14 +30,9 @@
                                                        std::uint64_t era);
 
 private:
-    /// Earlier orders of a service that are remembered.
-    static constexpr std::size_t max_earlier = 4;
-
-    rollout resolve(stored_rollout const& stored);
-    bool is_earlier_order(rollout const& ordered) const;
+    rollout resolve(stored_rollout const& stored) const;
 
     std::map<std::string, rollout, std::less<>> latest;
-    std::map<std::string, std::deque<rollout>, std::less<>> earlier;
 };
 
 } // namespace peridot
--- a/tests/mesh/store_era_test.cpp
+++ b/tests/mesh/store_era_test.cpp
@@ -173,6 +173,18 @@
     CHECK(found.order == first.order);
 }
 
+// Guards against a completion that is overwritten, because the node that wrote it did not know yet
+// where the order is in the new era.
+TEST(rollout_history, progress_written_under_the_earlier_position_of_the_order_counts) {
+    auto const first = order("v2", {1, 30});
+    update(first, progress(first, rollout_phase::running, 3), 1);
+    auto const again = order("v2", {2, 9});
+    update(again, std::nullopt, 2);
+    auto const found = update(again, progress(first, rollout_phase::complete, 3), 2);
+    CHECK(found.phase == rollout_phase::complete);
+    CHECK(found.ordered_at == again.ordered_at);
+}
+
 // Guards against a node that started after the restore and does not recognize the order.
 TEST(rollout_history, restarted_node_knows_the_order_by_its_record) {
     auto const first = order("v2", {1, 30});
