tests: wait until the server has begun before its client leaves

http.deadline_closes_the_connection_and_cancels_the_handler failed once in meta/check beside other runs (load average 13 on 5 cores): the handler had not started. The test assumed that the server's thread runs within the 300 ms of the client's deadline. The exchange is now repeated until a handler has started; each exchange has the same checks, and one start and one cancellation are required as before.

--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -208,10 +208,14 @@
         }
         co_return http_response{};
     });
-    auto const outcome = exchange(address, {"POST", "/", {}, "x"}, milliseconds(300));
-    CHECK(code_of(outcome) == result_code::request_outcome_unknown);
-    CHECK(std::get<exchange_failure>(outcome).progress == exchange_progress::sent);
-    UNSIGNED_LONGS_EQUAL(0, connections.connections(address));
+    // A server whose thread gets no processor time until the deadline does not start the handler.
+    CHECK(wait_for([&] {
+        auto const outcome = exchange(address, {"POST", "/", {}, "x"}, milliseconds(300));
+        CHECK(code_of(outcome) == result_code::request_outcome_unknown);
+        CHECK(std::get<exchange_failure>(outcome).progress == exchange_progress::sent);
+        UNSIGNED_LONGS_EQUAL(0, connections.connections(address));
+        return started > 0;
+    }));
     LONGS_EQUAL(1, started.load());
     CHECK(wait_for([&] { return cancelled == 1; }));
     CHECK(wait_for([&] { return server.requests_in_flight() == 0; }));
