mesh: take an order of the copy that is written again for the same one

An operator may write everything again after a drill, not only what was lost. An order that the copy had got a second position in the era then, and counted as new: an ended roll-out would have run again. It is the same order once in each era; the new unit test fails without this. Copies of all member records at each change of the rows are gone.

--- a/libraries/mesh/member_history.cpp
+++ b/libraries/mesh/member_history.cpp
@@ -2,6 +2,8 @@
 
 #include <limits>
 #include <set>
+#include <string_view>
+#include <utility>
 
 namespace peridot {
 
@@ -50,7 +52,7 @@
 } // namespace
 
 std::vector<member> member_history::update(std::vector<member> const& stored, std::uint64_t era) {
-    std::set<std::string> present;
+    std::set<std::string_view> present;
     for (auto const& record : stored) {
         present.insert(record.instance);
         this->learn(record);
@@ -59,6 +61,7 @@
         return !present.contains(entry.first) && entry.second.seen.era >= era;
     });
     std::vector<member> used;
+    used.reserve(this->by_instance.size());
     for (auto const& [instance, known] : this->by_instance) {
         used.push_back(known.record);
         if (!present.contains(instance)) {
@@ -69,10 +72,13 @@
 }
 
 void member_history::learn(member const& stored) {
-    auto const [entry, is_new] =
+    auto const found = this->by_instance.find(stored.instance);
+    if (found == this->by_instance.end()) {
         this->by_instance.emplace(stored.instance, known_member{stored, stored.revision});
-    auto& known = entry->second;
-    if (is_new || stored.revision <= known.seen) {
+        return;
+    }
+    auto& known = found->second;
+    if (stored.revision <= known.seen) {
         return;
     }
     bool const is_from_copy =
@@ -84,9 +90,9 @@
     known.seen = stored.revision;
 }
 
-std::vector<member> newest_by_address(std::vector<member> const& records) {
-    std::map<std::string, member const*> by_address;
-    for (auto const& record : records) {
+std::vector<member> newest_by_address(std::vector<member> records) {
+    std::map<std::string, member*> by_address;
+    for (auto& record : records) {
         auto const [entry, is_new] = by_address.emplace(record.ip, &record);
         if (!is_new && is_registered_later(record, *entry->second)) {
             entry->second = &record;
@@ -95,7 +101,7 @@
     std::vector<member> newest;
     newest.reserve(by_address.size());
     for (auto const& [ip, record] : by_address) {
-        newest.push_back(*record);
+        newest.push_back(std::move(*record));
     }
     return newest;
 }
--- a/libraries/mesh/member_history.h
+++ b/libraries/mesh/member_history.h
@@ -33,6 +33,6 @@
 };
 
 /// Returns one record for each address: an address belongs to the node that registered it last.
-std::vector<member> newest_by_address(std::vector<member> const& records);
+std::vector<member> newest_by_address(std::vector<member> records);
 
 } // namespace peridot
--- a/libraries/mesh/rollout_history.cpp
+++ b/libraries/mesh/rollout_history.cpp
@@ -14,11 +14,21 @@
     return first.to == second.to && first.duration == second.duration;
 }
 
+// Whether the order came with the copy of the store and has not been written again since.
+bool is_position_of_copy(rollout const& known) {
+    return known.order.era < known.ordered_at.era && known.order.number == known.ordered_at.number;
+}
+
 // Whether the order that was found is the one of a roll-out that is known already. In a later era,
-// the order may have another number.
+// the order may have another number, also if the operator writes again what the copy had.
 bool is_same_order(rollout const& known, rollout const& found) {
-    return known.order == found.order || known.ordered_at == found.ordered_at ||
-           (known.ordered_at.era < found.ordered_at.era && has_same_content(known, found));
+    if (known.order == found.order || known.ordered_at == found.ordered_at) {
+        return true;
+    }
+    bool const may_be_written_again =
+        known.ordered_at.era < found.ordered_at.era ||
+        (known.ordered_at.era == found.ordered_at.era && is_position_of_copy(known));
+    return may_be_written_again && has_same_content(known, found);
 }
 
 // How far a roll-out has come. The old targets stop with a completion, so it goes before a
--- a/tests/mesh/store_era_test.cpp
+++ b/tests/mesh/store_era_test.cpp
@@ -210,6 +210,19 @@
     CHECK(found.phase == rollout_phase::rolled_back);
 }
 
+// Guards against ended roll-outs that run again, because an operator writes everything again after
+// the store came back, also what the copy had.
+TEST(rollout_history, order_of_the_copy_that_is_written_again_is_the_same_once) {
+    auto const first = order("v2", {1, 5});
+    auto const ended = progress(first, rollout_phase::rolled_back, 1);
+    update(first, ended, 1);
+    CHECK(update(order("v2", {2, 5}), ended, 2).phase == rollout_phase::rolled_back);
+    auto const again = update(order("v2", {2, 33}), ended, 2);
+    CHECK(again.phase == rollout_phase::rolled_back);
+    CHECK(again.order == first.order);
+    CHECK(update(order("v2", {2, 40}), again, 2).phase == rollout_phase::running);
+}
+
 // Guards against an order of the operator that is taken for an earlier one.
 TEST(rollout_history, next_order_in_the_same_era_starts_anew) {
     auto const first = order("v2", {2, 9});
