mesh: keep the latest position of an order when its progress is merged

The progress in the store may name an earlier position of the order than the one that is known, or a later one that the operator's table does not show yet; the first took the known position back, the second made an ended roll-out begin anew until the order arrived.

--- a/libraries/mesh/rollout_history.cpp
+++ b/libraries/mesh/rollout_history.cpp
@@ -45,12 +45,21 @@
     bool const is_ahead = progress(remembered) > progress(recorded);
     rollout merged = is_ahead ? remembered : recorded;
     merged.order = std::min(remembered.order, recorded.order);
+    merged.ordered_at = std::max(remembered.ordered_at, recorded.ordered_at);
     return merged;
 }
 
+// Whether the progress that was read shows a later position of the order in the same era.
+bool is_outdated(rollout const& ordered, rollout const& known) {
+    return ordered.ordered_at.era == known.ordered_at.era && ordered.ordered_at < known.ordered_at;
+}
+
 // Whether the order is one of the copy, and the store has lost a later one. The copy shows it with
 // the progress of an earlier era until the operator has written the later order again.
 bool is_before(rollout_history::stored_rollout const& stored, rollout const& known) {
+    if (!stored.recorded) {
+        return false;
+    }
     auto const& ordered_at = stored.ordered.ordered_at;
     auto const& recorded_at = stored.recorded->ordered_at;
     bool const is_in_copy =
@@ -85,7 +94,7 @@
         known->ordered_at = ordered.ordered_at;
         return *known;
     }
-    if (known && stored.recorded && is_before(stored, *known)) {
+    if (known && (is_outdated(ordered, *known) || is_before(stored, *known))) {
         return *known;
     }
     if (stored.recorded && is_same_order(*stored.recorded, ordered)) {
--- a/tests/mesh/store_era_test.cpp
+++ b/tests/mesh/store_era_test.cpp
@@ -216,13 +216,28 @@
     auto const first = order("v2", {1, 5});
     auto const ended = progress(first, rollout_phase::rolled_back, 1);
     update(first, ended, 1);
-    CHECK(update(order("v2", {2, 5}), ended, 2).phase == rollout_phase::rolled_back);
-    auto const again = update(order("v2", {2, 33}), ended, 2);
+    auto const in_copy = update(order("v2", {2, 5}), ended, 2);
+    CHECK(in_copy.phase == rollout_phase::rolled_back);
+    auto const again = update(order("v2", {2, 33}), in_copy, 2);
     CHECK(again.phase == rollout_phase::rolled_back);
     CHECK(again.order == first.order);
     CHECK(update(order("v2", {2, 40}), again, 2).phase == rollout_phase::running);
 }
 
+// Guards against an ended roll-out that begins anew at a node that reads the progress of the new
+// era before the new position of the order.
+TEST(rollout_history, progress_may_be_read_before_the_position_of_its_order) {
+    auto const first = order("v2", {1, 5});
+    auto const ended = progress(first, rollout_phase::complete, 3);
+    update(first, ended, 1);
+    auto const copied = order("v2", {2, 5});
+    update(copied, ended, 2);
+    auto moved = ended;
+    moved.ordered_at = {2, 33};
+    CHECK(update(copied, moved, 2).phase == rollout_phase::complete);
+    CHECK(update(order("v2", {2, 33}), moved, 2).phase == rollout_phase::complete);
+}
+
 // Guards against an order of the operator that is taken for an earlier one.
 TEST(rollout_history, next_order_in_the_same_era_starts_anew) {
     auto const first = order("v2", {2, 9});
