tests: share the steps that the plays of a restored store repeat

Two plays wrote the same sequence of configurations around a restore, and three the same wait for a status under load. Each is one function of the group now, with the same checks.

--- a/tests/processes/store_restore/store_restore_test.cpp
+++ b/tests/processes/store_restore/store_restore_test.cpp
@@ -85,6 +85,19 @@
         this->fleet.store().set_unavailable(false);
     }
 
+    // The store loses a configuration that was in force. The operator writes it again, and then the
+    // next one, which comes into force while the revisions are behind those before the restore.
+    void check_next_configuration_after_restore() {
+        auto const earlier = this->fleet.store().make_copy();
+        this->write_other_rows();
+        this->fleet.configure(2, 2);
+        CHECK(this->wait_until_in_force(1));
+        this->restore(*earlier);
+        this->fleet.configure(2, 2);
+        this->fleet.configure(3, 3);
+        CHECK(this->wait_until_in_force(2));
+    }
+
     std::string record_of(mesh_instance const& instance) {
         return this->fleet.store().value("peridot", "member/" + instance.name);
     }
@@ -109,6 +122,14 @@
         return wait_until([&] { return this->status().find(state) != std::string::npos; });
     }
 
+    // Sends requests meanwhile, by which the new version is judged.
+    bool wait_until_status_under_load(std::string const& state) {
+        return wait_until([&] {
+            this->status_of(*this->instances.front(), "/get/1");
+            return this->status().find(state) != std::string::npos;
+        });
+    }
+
     std::string metrics_of(mesh_instance const& instance) {
         auto const answer = this->sender.call(sidecar_fleet::control_address(instance),
                                               {"GET", "/metrics", {}, {}});
@@ -128,10 +149,7 @@
         CHECK(wait_until([&] { return this->fleet.is_ready(bad); }));
         CHECK(this->wait_until_recorded(bad, "ready"));
         this->order_rollout("v2");
-        CHECK(wait_until([&] {
-            this->status_of(*this->instances.front(), "/get/1");
-            return this->status().find("rolled_back") != std::string::npos;
-        }));
+        CHECK(this->wait_until_status_under_load("rolled_back"));
         return bad;
     }
 };
@@ -139,14 +157,7 @@
 // Guards against nodes that take every row of a restored store for old, so that they keep an older
 // configuration for as long as its revisions stay behind (CONFIG on kcg-mesh-grown).
 TEST(store_restore, new_configuration_is_in_force_while_revisions_stay_behind) {
-    auto const earlier = fleet.store().make_copy();
-    write_other_rows();
-    fleet.configure(2, 2);
-    CHECK(wait_until_in_force(1));
-    restore(*earlier);
-    fleet.configure(2, 2);
-    fleet.configure(3, 3);
-    CHECK(wait_until_in_force(2));
+    check_next_configuration_after_restore();
 }
 
 // Guards against a roll-back that the operator cannot see any more, and against a version that is
@@ -228,14 +239,7 @@
 TEST(store_restore, new_configuration_reaches_nodes_that_the_store_does_not_serve) {
     instances.push_back(&fleet.add_with_unreachable_store("deposits"));
     CHECK(wait_until_in_force(0));
-    auto const earlier = fleet.store().make_copy();
-    write_other_rows();
-    fleet.configure(2, 2);
-    CHECK(wait_until_in_force(1));
-    restore(*earlier);
-    fleet.configure(2, 2);
-    fleet.configure(3, 3);
-    CHECK(wait_until_in_force(2));
+    check_next_configuration_after_restore();
 }
 
 // Guards against a node that starts after the restore and takes an older configuration from a node
@@ -282,10 +286,7 @@
     order_rollout("v2", 3);
     CHECK(wait_until_status("running"));
     auto const earlier = fleet.store().make_copy();
-    CHECK(wait_until([&] {
-        status_of(*instances.front(), "/get/1");
-        return status().find("complete") != std::string::npos;
-    }));
+    CHECK(wait_until_status_under_load("complete"));
     restore(*earlier);
     auto const before = next.target->run_count();
     for (int round = 0; round < 40; ++round) {
@@ -321,10 +322,7 @@
     order_rollout("v2", 6);
     CHECK(wait_until_status("running"));
     restore(*fleet.store().make_copy(), std::chrono::minutes(10));
-    CHECK(wait_until([&] {
-        status_of(*instances.front(), "/get/1");
-        return status().find("complete") != std::string::npos;
-    }));
+    CHECK(wait_until_status_under_load("complete"));
 }
 
 // Guards against a record that is lost with the response to its write.
