--- a/libraries/core/result_code.cpp
+++ b/libraries/core/result_code.cpp
@@ -94,6 +94,8 @@
         return "request_duplicate";
     case result_code::request_version_blocked:
         return "request_version_blocked";
+    case result_code::request_zone_evacuated:
+        return "request_zone_evacuated";
     case result_code::platform_unavailable:
         return "platform_unavailable";
     case result_code::platform_conflict:
--- a/libraries/core/result_code.h
+++ b/libraries/core/result_code.h
@@ -61,6 +61,7 @@
     request_not_ready = 4016,
     request_duplicate = 4017,
     request_version_blocked = 4018,
+    request_zone_evacuated = 4019,
 
     // 5xxx: platform.
     platform_unavailable = 5001,
--- a/libraries/mesh/fleet_view.h
+++ b/libraries/mesh/fleet_view.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
     std::map<std::string, std::vector<member>, std::less<>> members;
     /// Latest rollout of each service.
     std::map<std::string, rollout, std::less<>> rollouts;
+    /// Availability zones whose targets must not receive requests.
+    std::set<std::string, std::less<>> evacuated_zones;
 };
 
 } // namespace peridot
--- a/libraries/mesh/mesh_configuration.cpp
+++ b/libraries/mesh/mesh_configuration.cpp
@@ -1,7 +1,12 @@
 #include "mesh/mesh_configuration.h"
 
+#include "core/digest.h"
+#include "mesh/configuration_content.h"
+
 #include <algorithm>
 #include <cctype>
+#include <unordered_map>
+#include <utility>
 
 namespace peridot {
 
@@ -26,31 +31,28 @@
     // Routes of one host by prefix. Each prefix occurs once per host.
     using prefix_map = std::map<std::string, std::size_t, std::less<>>;
 
-    std::uint64_t version = 0;
-    std::vector<mesh_route> routes;
+    explicit implementation(configuration_content&& source)
+        : content(std::move(source))
+        , workspaces_by_key(content.workspaces_by_key.begin(), content.workspaces_by_key.end()) {
+        this->content.workspaces_by_key.clear();
+        for (std::size_t index = 0; index < this->content.routes.size(); ++index) {
+            auto const& route = this->content.routes[index];
+            this->hosts[normalize_host(route.host)][route.prefix] = index;
+        }
+    }
+
+    configuration_content content;
+    std::unordered_map<std::string, std::size_t> workspaces_by_key;
     std::map<std::string, prefix_map, std::less<>> hosts;
-    std::map<std::string, std::size_t, std::less<>> services;
-    caller_limits limits;
 };
 
-mesh_configuration::mesh_configuration(std::uint64_t version, std::vector<mesh_route> routes,
-                                       std::map<std::string, std::size_t> services,
-                                       caller_limits limits)
-    : self(std::make_unique<implementation>()) {
-    this->self->version = version;
-    this->self->routes = std::move(routes);
-    this->self->services.insert(services.begin(), services.end());
-    this->self->limits = limits;
-    for (std::size_t index = 0; index < this->self->routes.size(); ++index) {
-        auto const& route = this->self->routes[index];
-        this->self->hosts[normalize_host(route.host)][route.prefix] = index;
-    }
-}
+mesh_configuration::mesh_configuration(configuration_content content)
+    : self(std::make_unique<implementation>(std::move(content))) {}
 
 mesh_configuration::~mesh_configuration() = default;
 
 std::uint64_t mesh_configuration::version() const {
-    return this->self->version;
+    return this->self->content.version;
 }
 
 mesh_route const* mesh_configuration::find(std::string_view host, std::string_view path) const {
@@ -64,23 +66,42 @@
          end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
         auto const match = found->second.find(path.substr(0, end + 1));
         if (match != found->second.end()) {
-            return &this->self->routes[match->second];
+            return &this->self->content.routes[match->second];
         }
     }
     return nullptr;
 }
 
 std::size_t mesh_configuration::route_count() const {
-    return this->self->routes.size();
+    return this->self->content.routes.size();
+}
+
+service_terms const* mesh_configuration::find_service(std::string_view service) const {
+    auto const found = this->self->content.services.find(service);
+    return found == this->self->content.services.end() ? nullptr : &found->second;
+}
+
+workspace const* mesh_configuration::find_workspace(std::string_view key) const {
+    auto const found = this->self->workspaces_by_key.find(digest(key));
+    return found == this->self->workspaces_by_key.end()
+               ? nullptr
+               : &this->self->content.workspaces[found->second];
+}
+
+bool mesh_configuration::has_workspaces() const {
+    return !this->self->content.workspaces.empty();
+}
+
+std::vector<workspace> const& mesh_configuration::workspaces() const {
+    return this->self->content.workspaces;
 }
 
-std::size_t mesh_configuration::connections(std::string_view service) const {
-    auto const found = this->self->services.find(service);
-    return found == this->self->services.end() ? 0 : found->second;
+std::string mesh_configuration::digest(std::string_view key) {
+    return sha256_hex(key);
 }
 
 caller_limits const& mesh_configuration::limits() const {
-    return this->self->limits;
+    return this->self->content.limits;
 }
 
 } // namespace peridot
--- a/libraries/mesh/mesh_configuration.h
+++ b/libraries/mesh/mesh_configuration.h
@@ -1,11 +1,7 @@
 #pragma once
 
-#include "mesh/caller_limits.h"
-#include "mesh/mesh_route.h"
-
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -13,12 +9,16 @@
 
 namespace peridot {
 
+struct caller_limits;
+struct configuration_content;
+struct mesh_route;
+struct service_terms;
+struct workspace;
+
 /// An immutable version of the configuration, indexed for look-ups.
 class mesh_configuration {
 public:
-    /// `services` maps each service to the number of connections that one of its targets accepts.
-    mesh_configuration(std::uint64_t version, std::vector<mesh_route> routes,
-                       std::map<std::string, std::size_t> services, caller_limits limits);
+    explicit mesh_configuration(configuration_content content);
     ~mesh_configuration();
     mesh_configuration(mesh_configuration const&) = delete;
     mesh_configuration& operator=(mesh_configuration const&) = delete;
@@ -32,8 +32,18 @@
     mesh_route const* find(std::string_view host, std::string_view path) const;
 
     std::size_t route_count() const;
-    /// Number of connections that a target of the service accepts; zero for an unknown service.
-    std::size_t connections(std::string_view service) const;
+    /// Returns null for an unknown service.
+    service_terms const* find_service(std::string_view service) const;
+
+    /// Returns the workspace that holds the key, or null if there is none. Only digests are
+    /// compared, so the time that this takes says nothing about the keys.
+    workspace const* find_workspace(std::string_view key) const;
+    /// Whether callers have to identify themselves by a key.
+    bool has_workspaces() const;
+    std::vector<workspace> const& workspaces() const;
+    /// The form in which keys are held, so that no dump or log of the configuration reveals them.
+    static std::string digest(std::string_view key);
+
     caller_limits const& limits() const;
 
 private:
--- a/libraries/mesh/mesh_route.h
+++ b/libraries/mesh/mesh_route.h
@@ -24,6 +24,8 @@
     unsigned priority = 0;
     /// Maximum number of endpoints that one request may be sent to.
     unsigned attempts = 1;
+    /// Whether callers need no key of a workspace.
+    bool is_public = false;
     /// Contains at least one entry. The weights need not add up to one.
     std::vector<weighted_service> services;
 
--- a/libraries/settings/sidecar_settings.cpp
+++ b/libraries/settings/sidecar_settings.cpp
@@ -30,6 +30,9 @@
     "control_port": {"type": "integer", "minimum": 1, "maximum": 65535},
     "store": {"$ref": "#/definitions/address"},
     "processor_share": {"type": "number", "minimum": 0},
+    "memory_mb": {"type": "number", "minimum": 16},
+    "max_descriptors": {"type": "integer", "minimum": 256, "maximum": 1048576},
+    "link_mbps": {"type": "number", "minimum": 0.1},
     "seeds": {"type": "array", "maxItems": 64, "items": {"type": "string"}},
     "bounds": {"type": "object", "additionalProperties": {"type": ["number", "boolean", "string", "null"]}},
     "log_level": {"type": "string", "enum": ["debug", "info", "warning", "error"]}
@@ -56,6 +59,15 @@
         settings.control_port = reader.port("control_port");
         settings.store = reader.address_text("store");
         settings.processor_share = reader.real("processor_share", settings.processor_share);
+        if (reader.has("memory_mb")) {
+            settings.memory_mb = reader.real("memory_mb", 0);
+        }
+        if (reader.has("max_descriptors")) {
+            settings.max_descriptors = reader.number("max_descriptors", 0);
+        }
+        if (reader.has("link_mbps")) {
+            settings.link_mbps = reader.real("link_mbps", 0);
+        }
         if (reader.has("seeds")) {
             settings.seeds = reader.strings("seeds");
         }
--- a/libraries/settings/sidecar_settings.h
+++ b/libraries/settings/sidecar_settings.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,11 @@
     /// Share of a processor core that is available to the instance. Nodes with larger shares follow
     /// the store's feed on behalf of the other nodes in their availability zone.
     double processor_share = 1;
+    /// Memory, file descriptors and link rate that are available to the process; no value for no
+    /// limit.
+    std::optional<double> memory_mb;
+    std::optional<std::uint32_t> max_descriptors;
+    std::optional<double> link_mbps;
     /// Addresses of nodes from which to obtain state while the store is unavailable. They may be
     /// stale.
     std::vector<std::string> seeds;
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -6,6 +6,7 @@
 #include "mesh/caller_wait_estimator.h"
 #include "mesh/fleet_retry_budget.h"
 #include "mesh/mesh_configuration.h"
+#include "mesh/mesh_route.h"
 #include "mesh/share_selector.h"
 #include "mesh/target_corrections.h"
 #include "mesh/target_notices.h"
--- a/libraries/sidecar/gate_call.h
+++ b/libraries/sidecar/gate_call.h
@@ -15,6 +15,10 @@
     std::string route;
     request_kind kind = request_kind::non_idempotent;
     unsigned priority = 0;
+    /// Workspace of the caller; empty if the request has none.
+    std::string workspace;
+    /// Goes before the priority of the route.
+    std::optional<unsigned> workspace_priority;
     /// The intended target; a different target at the same address does not receive the request.
     std::string target_id;
     /// The service on whose instance the request originated.
--- a/libraries/sidecar/hop_message.cpp
+++ b/libraries/sidecar/hop_message.cpp
@@ -20,6 +20,8 @@
 // A single header per direction keeps the overhead between nodes low.
 constexpr std::string_view call_header = "Peridot-Call";
 constexpr std::string_view state_header = "Peridot-State";
+// Sent for callers that have a workspace: its name, and its priority if it has one.
+constexpr std::string_view workspace_header = "Peridot-Workspace";
 constexpr std::size_t call_field_count = 10;
 // The rate limit follows as a further field if the sender knows of one.
 constexpr std::size_t limited_call_field_count = call_field_count + 1;
@@ -173,6 +175,24 @@
     return state;
 }
 
+std::string workspace_text(gate_call const& call) {
+    auto text = encoded(call.workspace);
+    if (call.workspace_priority) {
+        text += ";" + std::to_string(*call.workspace_priority);
+    }
+    return text;
+}
+
+void read_workspace(http_request& request, gate_call& call) {
+    auto const header = std::string(request.headers.value(workspace_header));
+    auto const parts = split(header);
+    call.workspace = decoded(parts.front());
+    if (parts.size() > 1) {
+        call.workspace_priority = parse_number<unsigned>(parts[1]);
+    }
+    request.headers.remove(workspace_header);
+}
+
 } // namespace
 
 void write_hop_call(http_request& request, gate_call const& call, boot_time now) {
@@ -191,6 +211,11 @@
                                                   requests_per_unit));
     }
     request.headers.set(call_header, text);
+    // The caller may have sent a field of this name.
+    request.headers.remove(workspace_header);
+    if (!call.workspace.empty()) {
+        request.headers.set(workspace_header, workspace_text(call));
+    }
 }
 
 std::optional<gate_call> extract_hop_call(http_request& request, boot_time now) {
@@ -224,6 +249,7 @@
         }
     }
     request.headers.remove(call_header);
+    read_workspace(request, call);
     return call;
 }
 
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -5,6 +5,7 @@
 #include "core/rcu_cell.h"
 #include "http/connection_pool.h"
 #include "http/http_server.h"
+#include "mesh/caller_limits.h"
 #include "mesh/configuration_query_pacer.h"
 #include "mesh/mesh_configuration.h"
 #include "observability/gauge.h"
--- a/tests/adapter/decoders_test.cpp
+++ b/tests/adapter/decoders_test.cpp
@@ -1,4 +1,7 @@
+#include "mesh/caller_limits.h"
 #include "mesh/mesh_configuration.h"
+#include "mesh/mesh_route.h"
+#include "mesh/service_terms.h"
 #include "platform/base64.h"
 #include "platform/bounds.h"
 #include "platform/decoders.h"
@@ -73,7 +76,7 @@
     UNSIGNED_LONGS_EQUAL(2, one->services.size());
     DOUBLES_EQUAL(90, one->services[0].weight, 0);
     CHECK(configuration.find("b.example", "/y/")->kind == request_kind::non_idempotent);
-    UNSIGNED_LONGS_EQUAL(110, configuration.connections("s2"));
+    UNSIGNED_LONGS_EQUAL(110, configuration.find_service("s2")->connections);
     CHECK(configuration.limits().idle_timeout == seconds(15));
 }
 
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -1,3 +1,4 @@
+#include "mesh/configuration_content.h"
 #include "mesh/mesh_configuration.h"
 #include "mesh/rollout_plan.h"
 #include "mesh/row_replica.h"
@@ -52,12 +53,18 @@
 } // namespace
 
 TEST_GROUP(mesh_configuration) {
-    mesh_configuration configuration{7,
-                                     {route("short", "a.example", "/x/"),
-                                      route("long", "a.example", "/x/y/"),
-                                      route("other", "b.example", "/")},
-                                     {{"deposits", 120}},
-                                     {}};
+    mesh_configuration configuration{content()};
+
+    static configuration_content content() {
+        configuration_content parts;
+        parts.version = 7;
+        parts.routes = {route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"),
+                        route("other", "b.example", "/")};
+        parts.services["deposits"].connections = 120;
+        parts.workspaces = {{"bakery", 1, 20.0, 40.0}};
+        parts.workspaces_by_key = {{mesh_configuration::digest("key-1"), 0}};
+        return parts;
+    }
 
     std::string matched_route(std::string_view host, std::string_view path) const {
         auto const* match = this->configuration.find(host, path);
@@ -65,6 +72,16 @@
     }
 };
 
+// Guards against a key that is taken for that of another workspace, or for one although it is none.
+TEST(mesh_configuration, key_identifies_its_workspace) {
+    auto const* found = configuration.find_workspace("key-1");
+    CHECK(found != nullptr);
+    STRCMP_EQUAL("bakery", found->name.c_str());
+    for (auto const* other : {"", "key-", "key-2", "KEY-1", "key-1 "}) {
+        POINTERS_EQUAL(nullptr, configuration.find_workspace(other));
+    }
+}
+
 // Guards against requests that are routed to the service of another route.
 TEST(mesh_configuration, longest_matching_prefix_wins) {
     STRCMP_EQUAL("short", matched_route("a.example", "/x/1").c_str());
--- a/tests/sidecar/hop_message_test.cpp
+++ b/tests/sidecar/hop_message_test.cpp
@@ -98,6 +98,24 @@
     }
 }
 
+// Guards against a workspace that is lost between nodes, or taken from a caller's own field.
+TEST(hop_message, workspace_of_the_call_arrives) {
+    http_request request;
+    request.headers.set("Peridot-Workspace", "other;0");
+    gate_call call;
+    call.attempt_id = "a1";
+    write_hop_call(request, call, now);
+    CHECK_FALSE(request.headers.contains("Peridot-Workspace"));
+    call.workspace = "bakery; north";
+    call.workspace_priority = 3;
+    write_hop_call(request, call, now);
+    auto const read = extract_hop_call(request, now);
+    CHECK(read.has_value());
+    STRCMP_EQUAL("bakery; north", read->workspace.c_str());
+    CHECK(read->workspace_priority == 3U);
+    CHECK_FALSE(request.headers.contains("Peridot-Workspace"));
+}
+
 // Guards against values that a node computes outside of a field's range, such as a wait without
 // end, and that the receiver could not read.
 TEST(hop_message, values_out_of_range_are_limited_by_the_sender) {
--- a/tests/sidecar/view_builder_test.cpp
+++ b/tests/sidecar/view_builder_test.cpp
@@ -1,4 +1,5 @@
 #include "mesh/mesh_configuration.h"
+#include "mesh/mesh_route.h"
 #include "mesh/row_replica.h"
 #include "platform/decoders.h"
 #include "sidecar/view_builder.h"
