sidecar: identify callers by the key of their workspace

Workspaces, their keys and public routes are now read from the configuration, and an invalid entry refuses all of it. A request without a valid key gets 401 before anything waits; the key is replaced by the workspace's name, and checked again before each further offer.

--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -12,6 +12,7 @@
 #include "mesh/target_notices.h"
 #include "mesh/target_selector.h"
 #include "mesh/version_share.h"
+#include "mesh/workspace.h"
 #include "observability/counter.h"
 #include "observability/latency_histogram.h"
 #include "platform/messages.h"
@@ -49,6 +50,7 @@
 
 namespace status_codes {
 constexpr unsigned malformed = 400;
+constexpr unsigned unauthenticated = 401;
 constexpr unsigned no_route = 404;
 constexpr unsigned bad_gateway = 502;
 constexpr unsigned unavailable = 503;
@@ -93,6 +95,14 @@
                  {"configuration", static_cast<std::int64_t>(view->configuration->version())}});
             co_return make_local_answer(status_codes::no_route, caller->attempt_id, std::nullopt);
         }
+        std::string key = read_workspace_key(request);
+        auto const caller_workspace = this->identify(key, *view->configuration, *route);
+        if (!caller_workspace) {
+            co_return this->refuse_unauthenticated(*caller, *route);
+        }
+        if (view->configuration->has_workspaces()) {
+            write_workspace(request, caller_workspace->name);
+        }
         request_placement placement;
         placement.view = view;
         placement.configuration = view->configuration;
@@ -101,6 +111,9 @@
         placement.request = std::move(request);
         placement.arrived = arrived;
         placement.retry_after = no_target_retry_after;
+        placement.key = std::move(key);
+        placement.call.workspace = caller_workspace->name;
+        placement.call.workspace_priority = caller_workspace->priority;
         this->prepare_call(placement, *caller);
         this->retry_budget.record_request(placement.service, route->name, *view, arrived);
         auto answer = co_await this->place_or_abort(placement);
@@ -112,6 +125,28 @@
     void abort_requests() { this->is_aborting = true; }
 
 private:
+    // Returns the workspace of a request, which has no name if the request needs none; no value if
+    // the request has to be refused.
+    static std::optional<workspace> identify(std::string const& key,
+                                             mesh_configuration const& configuration,
+                                             mesh_route const& route) {
+        if (!configuration.has_workspaces()) {
+            return workspace{};
+        }
+        auto const* found = key.empty() ? nullptr : configuration.find_workspace(key);
+        if (found != nullptr) {
+            return *found;
+        }
+        return route.is_public ? std::optional(workspace{}) : std::nullopt;
+    }
+
+    http_response refuse_unauthenticated(request_metadata const& caller, mesh_route const& route) {
+        this->metrics.unauthenticated_requests.add();
+        log::write(log::level::info, "request_unauthenticated",
+                   {{"request", caller.attempt_id}, {"route", route.name}});
+        return make_local_answer(status_codes::unauthenticated, caller.attempt_id, std::nullopt);
+    }
+
     // Logs one line per request with its outcome and the configuration version that was used.
     void log_outcome(request_placement const& placement, http_response const& answer) const {
         auto const held =
@@ -177,6 +212,10 @@
             if (!choice) {
                 break;
             }
+            if (!this->is_still_authorized(placement)) {
+                placement.reason = result_code::request_unauthenticated;
+                break;
+            }
             member const chosen = this->corrections.apply(*choice->chosen);
             ++placement.offers;
             placement.last.at = now;
@@ -207,6 +246,24 @@
         co_return this->make_final_answer(placement);
     }
 
+    // A key may be withdrawn or given to another workspace while its request waits or is retried.
+    static bool is_still_authorized(request_placement& placement) {
+        auto const& latest = placement.view->configuration;
+        if (!latest || latest == placement.configuration) {
+            return true;
+        }
+        auto const current = identify(placement.key, *latest, *placement.route);
+        if (!current) {
+            return false;
+        }
+        if (current->name != placement.call.workspace) {
+            write_workspace(placement.request, current->name);
+            placement.call.workspace = current->name;
+        }
+        placement.call.workspace_priority = current->priority;
+        return true;
+    }
+
     std::optional<target_choice> choose(request_placement& placement, boot_time now) {
         // Members can change while a request is in flight, so the latest view is used.
         placement.view = this->views.load();
@@ -434,6 +491,11 @@
             this->metrics.failed_requests.add();
             return std::move(*placement.failure);
         }
+        if (placement.reason == result_code::request_unauthenticated && !placement.may_have_run) {
+            this->metrics.unauthenticated_requests.add();
+            return make_local_answer(status_codes::unauthenticated, placement.call.attempt_id,
+                                     std::nullopt);
+        }
         bool const is_expired = boot_clock::now() >= placement.call.deadline;
         unsigned status = status_codes::unavailable;
         if (placement.may_have_run) {
--- a/libraries/sidecar/request_placement.h
+++ b/libraries/sidecar/request_placement.h
@@ -29,6 +29,8 @@
     std::string version;
     gate_call call;
     http_request request;
+    /// The caller's key, which is checked again before each offer; never logged or passed on.
+    std::string key;
     boot_time arrived;
     target_selector::attempt_history attempts;
     /// Number of members that the request was offered to.
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -23,6 +23,8 @@
           registry.register_counter(requests_name, requests_help, {{"outcome", "unknown"}}))
     , unrouted_requests(
           registry.register_counter(requests_name, requests_help, {{"outcome", "no_route"}}))
+    , unauthenticated_requests(
+          registry.register_counter(requests_name, requests_help, {{"outcome", "unauthenticated"}}))
     , retried_requests(registry.register_counter("peridot_requests_sent_again_total",
                                                  "Requests that reached a further target."))
     , interrupted_responses(
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -16,6 +16,7 @@
     counter& refused_requests;
     counter& unknown_outcomes;
     counter& unrouted_requests;
+    counter& unauthenticated_requests;
     counter& retried_requests;
     counter& interrupted_responses;
     counter& gate_refusals;
--- a/tests/adapter/decoders_test.cpp
+++ b/tests/adapter/decoders_test.cpp
@@ -2,6 +2,7 @@
 #include "mesh/mesh_configuration.h"
 #include "mesh/mesh_route.h"
 #include "mesh/service_terms.h"
+#include "mesh/workspace.h"
 #include "platform/base64.h"
 #include "platform/bounds.h"
 #include "platform/decoders.h"
@@ -80,6 +81,60 @@
     CHECK(configuration.limits().idle_timeout == seconds(15));
 }
 
+namespace {
+
+// A configuration with one workspace, and with the given further resources.
+std::string text_with_workspaces(std::string const& more) {
+    return R"({"Version":"r8","Resources":[
+{"TypeUrl":"Routes","Metadata":{"Name":"one"},"Spec":{"Host":"a.example","Prefix":"/x/",
+"Kind":"idempotent","TimeoutS":1.5,"Service":"s1","Public":true}},
+{"TypeUrl":"Services","Metadata":{"Name":"s1"},"Spec":{"MaxConnections":120,"ColdStartS":3.0,"ColdPerS":13}},
+{"TypeUrl":"Tenants","Metadata":{"Name":"bakery"},"Spec":{"ApiKeys":["k1","k2"],"Priority":1,
+"RatePerS":531,"Burst":53.5}})" +
+           more + "]}";
+}
+
+std::string workspace_text(std::string const& name, std::string const& spec) {
+    return R"(,{"TypeUrl":"Tenants","Metadata":{"Name":")" + name + R"("},"Spec":{)" + spec + "}}";
+}
+
+} // namespace
+
+// Guards against workspaces, public routes and terms of cold targets that are read wrongly.
+TEST(decode_configuration, workspaces_and_cold_targets_are_read) {
+    auto const decoded = decode_configuration(
+        text_with_workspaces(workspace_text("mill", R"("ApiKeys":[])")));
+    CHECK(is_ok(decoded));
+    auto const& configuration = *value(decoded);
+    UNSIGNED_LONGS_EQUAL(2, configuration.workspaces().size());
+    auto const* bakery = configuration.find_workspace("k2");
+    CHECK(bakery != nullptr);
+    CHECK(*bakery == (workspace{"bakery", 1U, 531, 53.5}));
+    CHECK_FALSE(configuration.workspaces()[1].has_quota());
+    CHECK(configuration.find("a.example", "/x/")->is_public);
+    CHECK(configuration.find_service("s1")->cold_start == milliseconds(3000));
+    DOUBLES_EQUAL(13, configuration.find_service("s1")->cold_rate.value_or(0), 0);
+}
+
+// Guards against workspaces that are taken although a part of them is invalid: the key of one would
+// open another, or a quota would be none.
+TEST(decode_configuration, invalid_workspace_refuses_the_configuration) {
+    for (auto const& more :
+         {workspace_text("mill", R"("ApiKeys":["k1"])"), workspace_text("mill", R"("ApiKeys":["k3","k3"])"),
+          workspace_text("", R"("ApiKeys":["k3"])"), workspace_text("bakery", R"("ApiKeys":["k3"])"),
+          workspace_text("mill", R"("ApiKeys":[""])"), workspace_text("mill", R"("ApiKeys":"k3")"),
+          workspace_text("mill", R"("ApiKeys":[3])"), workspace_text("mill", R"("Priority":1)"),
+          workspace_text("mill", R"("ApiKeys":["k3"],"RatePerS":-1)"),
+          workspace_text("mill", R"("ApiKeys":["k3"],"Burst":-0.5)"),
+          workspace_text("mill", R"("ApiKeys":["k3"],"RatePerS":"9")"),
+          workspace_text("mill", R"("ApiKeys":["k3"],"Priority":0.5)")}) {
+        auto const decoded = decode_configuration(text_with_workspaces(more));
+        CHECK_FALSE(is_ok(decoded));
+        CHECK(describe(failure(decoded)).find("k3") == std::string::npos);
+        CHECK(describe(failure(decoded)).find("k1") == std::string::npos);
+    }
+}
+
 // Guards against a configuration that is only partially applied.
 TEST(decode_configuration, one_malformed_part_rejects_the_configuration) {
     for (auto const& [from, to] : std::vector<std::pair<std::string, std::string>>{
