sidecar: serve evacuations of a zone and limit cold targets

An evacuation that the operators ordered was neither read nor obeyed, and a target that came back cold got the full load. The view now holds the evacuated zones, across eras of the store; callers' nodes leave their members out, and the gate of such a zone refuses, so that a node with an old view is corrected. The gate limits a cold target to the rate that the configuration states. A target is presumed cold from a failed connection, a new process or the end of an evacuation until its next heartbeat.

--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -280,8 +280,17 @@
         }
         auto const versions = versions_to_try(placement.version, found->second, current);
         bool has_active_member = false;
+        bool has_evacuated_member = false;
+        auto const leave_out_evacuated = [&](std::vector<member const*> members) {
+            auto const removed = std::erase_if(members, [&](member const* candidate) {
+                return placement.view->evacuated_zones.contains(candidate->availability_zone);
+            });
+            has_evacuated_member = has_evacuated_member || removed > 0;
+            return members;
+        };
         for (auto const& version : versions) {
-            auto const candidates = active_members(found->second, version, current);
+            auto const candidates =
+                leave_out_evacuated(active_members(found->second, version, current));
             has_active_member = has_active_member || !candidates.empty();
             if (auto choice = this->choose_among(candidates, placement, now)) {
                 return choice;
@@ -292,14 +301,26 @@
         }
         // Nothing else is left, and a target may be back before its record says so.
         for (auto const& version : versions) {
-            auto const candidates = unreachable_members(found->second, version);
+            auto const candidates =
+                leave_out_evacuated(unreachable_members(found->second, version));
             if (auto choice = this->choose_among(candidates, placement, now)) {
                 return choice;
             }
         }
+        if (has_evacuated_member) {
+            this->report_no_zone_left(placement);
+        }
         return std::nullopt;
     }
 
+    // All targets that the service has left are in evacuated zones.
+    void report_no_zone_left(request_placement& placement) const {
+        placement.reason = result_code::request_zone_evacuated;
+        this->metrics.evacuation_refusals.add();
+        log::write(log::level::warning, "evacuation_leaves_no_target",
+                   {{"request", placement.call.attempt_id}, {"service", placement.service}});
+    }
+
     std::optional<target_choice> choose_among(std::vector<member const*> candidates,
                                               request_placement const& placement, boot_time now) {
         std::erase_if(candidates, [this](member const* candidate) {
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -32,6 +32,9 @@
                                     "Responses that ended after a part of the body was passed on."))
     , gate_refusals(registry.register_counter("peridot_gate_refusals_total",
                                               "Requests that the gate of the target refused."))
+    , evacuation_refusals(registry.register_counter(
+          "peridot_evacuation_refusals_total",
+          "Requests refused because every zone with targets of the service is evacuated."))
     , gate_in_use(registry.register_gauge("peridot_gate_slots_in_use",
                                           "Requests that the target is at work on."))
     , gate_waiting(registry.register_gauge("peridot_gate_waiting_requests",
@@ -39,6 +42,12 @@
     , gate_version_blocked(registry.register_gauge(
           "peridot_gate_version_blocked",
           "Whether the gate refuses every request because the target's version is condemned."))
+    , gate_zone_evacuated(registry.register_gauge(
+          "peridot_gate_zone_evacuated",
+          "Whether the gate refuses every request because its availability zone is evacuated."))
+    , gate_target_cold(registry.register_gauge(
+          "peridot_gate_target_cold",
+          "Whether the gate limits the rate of requests because the target is cold."))
     , target_awaited(registry.register_gauge(
           "peridot_target_awaited",
           "Whether a recorded target has not announced itself since the node's start."))
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -20,9 +20,12 @@
     counter& retried_requests;
     counter& interrupted_responses;
     counter& gate_refusals;
+    counter& evacuation_refusals;
     gauge& gate_in_use;
     gauge& gate_waiting;
     gauge& gate_version_blocked;
+    gauge& gate_zone_evacuated;
+    gauge& gate_target_cold;
     gauge& target_awaited;
     gauge& unfit_to_steer;
     gauge& configuration_version;
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -8,6 +8,7 @@
 #include "mesh/caller_limits.h"
 #include "mesh/configuration_query_pacer.h"
 #include "mesh/mesh_configuration.h"
+#include "mesh/service_terms.h"
 #include "observability/gauge.h"
 #include "observability/metric_registry.h"
 #include "platform/bounds.h"
@@ -96,10 +97,15 @@
                     this->request_newer_configuration(ip, version);
                 })
         , fleet(control_context, control_connections, store, views, initial)
-        , announcements(control_context, this->settings, fleet,
-                        [this](std::optional<target_record> target) {
-                            return this->apply_target(std::move(target));
-                        })
+        , announcements(
+              control_context, this->settings, fleet,
+              [this](std::optional<target_record> target) {
+                  return this->apply_target(std::move(target));
+              },
+              [this](milliseconds remaining) {
+                  asio::post(this->data_context,
+                             [this, remaining] { this->gate.observe_warm_up(remaining); });
+              })
         , steering(control_context, control_connections, fleet, views, initial.instance,
                    initial.service, initial.control_port,
                    {this->bounds.exposure_share, this->bounds.exposure_extra},
@@ -307,7 +313,32 @@
             this->metrics.configuration_version.set(
                 static_cast<std::int64_t>(view->configuration->version()));
             this->apply_limits(view->configuration->limits());
+            this->apply_terms(*view->configuration);
         }
+        if (view) {
+            this->apply_evacuation(
+                view->evacuated_zones.contains(this->settings.availability_zone));
+        }
+    }
+
+    // Runs on the control thread; the gate belongs to the data thread.
+    void apply_terms(mesh_configuration const& configuration) {
+        auto const* found = configuration.find_service(this->settings.service);
+        service_terms const next = found == nullptr ? service_terms{} : *found;
+        if (next == this->terms) {
+            return;
+        }
+        this->terms = next;
+        asio::post(this->data_context, [this, next] { this->gate.set_terms(next); });
+    }
+
+    void apply_evacuation(bool is_evacuated) {
+        if (is_evacuated == this->is_zone_evacuated) {
+            return;
+        }
+        this->is_zone_evacuated = is_evacuated;
+        asio::post(this->data_context,
+                   [this, is_evacuated] { this->gate.set_zone_evacuated(is_evacuated); });
     }
 
     // Runs on the control thread; the servers belong to the data thread.
@@ -438,6 +469,9 @@
     http_server control_server;
     /// The operator's limits in force; belongs to the control thread.
     caller_limits limits;
+    /// What the configuration in force says of the target; belongs to the control thread.
+    service_terms terms;
+    bool is_zone_evacuated = false;
     boot_time started;
     std::string last_sender;
     configuration_query_pacer configuration_queries;
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -51,11 +51,12 @@
 class target_announcements::implementation : public std::enable_shared_from_this<implementation> {
 public:
     implementation(asio::io_context& io, sidecar_settings const& node_settings, fleet_sync& sync,
-                   apply_function apply_target)
+                   apply_function apply_target, warm_up_function on_warm_up)
         : context(io)
         , settings(node_settings)
         , fleet(sync)
         , apply(std::move(apply_target))
+        , report_warm_up(std::move(on_warm_up))
         , tracker(to_string(node_settings.target), node_settings.service)
         , retry(io) {}
 
@@ -73,6 +74,9 @@
         if (*change == target_change::updated) {
             co_await this->apply_current();
         }
+        if (call->kind == target_call::purpose::heartbeat && *change != target_change::ignored) {
+            this->report_warm_up(this->tracker.current()->warm_up_remaining);
+        }
         bool const is_out_of_service =
             this->tracker.current() && !is_in_service(this->tracker.current()->state);
         if (is_out_of_service) {
@@ -273,6 +277,7 @@
     sidecar_settings const& settings;
     fleet_sync& fleet;
     apply_function apply;
+    warm_up_function report_warm_up;
     target_tracker tracker;
     boot_time last_announcement;
     /// The record that the store is known to hold, and the era in which it was read or written.
@@ -286,8 +291,9 @@
 
 target_announcements::target_announcements(asio::io_context& context,
                                            sidecar_settings const& settings, fleet_sync& fleet,
-                                           apply_function apply)
-    : self(std::make_shared<implementation>(context, settings, fleet, std::move(apply))) {}
+                                           apply_function apply, warm_up_function report_warm_up)
+    : self(std::make_shared<implementation>(context, settings, fleet, std::move(apply),
+                                            std::move(report_warm_up))) {}
 
 target_announcements::~target_announcements() = default;
 
--- a/libraries/sidecar/target_announcements.h
+++ b/libraries/sidecar/target_announcements.h
@@ -30,8 +30,11 @@
     using apply_function =
         std::function<boost::asio::awaitable<void>(std::optional<target_record>)>;
 
+    /// Called with the remaining time for which the target is cold, for each of its heartbeats.
+    using warm_up_function = std::function<void(milliseconds)>;
+
     target_announcements(boost::asio::io_context& context, sidecar_settings const& settings,
-                         fleet_sync& fleet, apply_function apply);
+                         fleet_sync& fleet, apply_function apply, warm_up_function report_warm_up);
     ~target_announcements();
     target_announcements(target_announcements const&) = delete;
     target_announcements& operator=(target_announcements const&) = delete;
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -5,7 +5,9 @@
 #include "http/connection_pool.h"
 #include "mesh/decaying_failure_rate.h"
 #include "mesh/gate_queue.h"
+#include "mesh/service_terms.h"
 #include "mesh/target_reach.h"
+#include "mesh/warm_up.h"
 #include "observability/counter.h"
 #include "observability/gauge.h"
 #include "observability/latency_histogram.h"
@@ -99,13 +101,13 @@
         }
         // After a restart of this node, the sender may know more about the target.
         if (!this->has_notice && call.rate_limit) {
-            this->apply_rate_limit(call.rate_limit);
             this->notice.rate_limit = call.rate_limit;
         }
         std::uint64_t const number = ++this->last_number;
         gate_request queued{number,        call.route,    call.priority, call.soft_deadline,
                             call.deadline, call.finish_by};
         auto const guard = std::make_shared<slot_guard>(*this, number);
+        this->update_rate_limit(boot_clock::now());
         auto decision = this->queue.offer(std::move(queued), boot_clock::now());
         if (std::holds_alternative<gate_wait>(decision)) {
             decision = co_await this->wait(number);
@@ -132,18 +134,34 @@
             this->reach = {};
             this->has_notice = false;
             this->notice = {};
-            this->queue.set_rate_limit(std::nullopt, boot_clock::now());
+            this->warming = {};
+            this->warming.set_cold_rate(this->cold_rate);
+            this->warming.presume_cold();
+            this->update_rate_limit(boot_clock::now());
         }
         this->target = next;
-        bool const is_blocked = this->is_target_blocked();
-        this->metrics.gate_version_blocked.set(is_blocked ? 1 : 0);
-        bool const accepts_requests = next && is_in_service(next->state) && !is_blocked;
-        this->queue.set_slots(accepts_requests ? next->slots : 0);
-        this->deliver_decisions(
-            accepts_requests
-                ? this->queue.dispatch(boot_clock::now())
-                : this->queue.refuse_all(is_blocked ? result_code::request_version_blocked
-                                                    : result_code::request_draining));
+        this->apply_service_state();
+    }
+
+    void set_zone_evacuated(bool is_evacuated) {
+        if (this->is_zone_evacuated && !is_evacuated) {
+            // Targets of the zone may have become cold meanwhile.
+            this->warming.presume_cold();
+        }
+        this->is_zone_evacuated = is_evacuated;
+        this->metrics.gate_zone_evacuated.set(is_evacuated ? 1 : 0);
+        this->apply_service_state();
+    }
+
+    void set_terms(service_terms const& terms) {
+        this->cold_rate = terms.cold_rate;
+        this->warming.set_cold_rate(terms.cold_rate);
+        this->update_rate_limit(boot_clock::now());
+    }
+
+    void observe_warm_up(milliseconds remaining) {
+        this->warming.observe(remaining, boot_clock::now());
+        this->dispatch(boot_clock::now());
     }
 
     void set_blocked_version(std::string version) {
@@ -179,20 +197,60 @@
     bool is_target_at_work() const { return this->queue.running_count() > 0; }
 
 private:
+    // Why the gate refuses every request at present; no value if it does not.
+    std::optional<result_code> service_refusal() const {
+        if (!this->target) {
+            return result_code::request_no_endpoint;
+        }
+        if (!is_in_service(this->target->state)) {
+            return result_code::request_draining;
+        }
+        if (this->is_target_blocked()) {
+            return result_code::request_version_blocked;
+        }
+        if (this->is_zone_evacuated) {
+            return result_code::request_zone_evacuated;
+        }
+        return std::nullopt;
+    }
+
+    void apply_service_state() {
+        this->metrics.gate_version_blocked.set(this->is_target_blocked() ? 1 : 0);
+        auto const refusal = this->service_refusal();
+        this->queue.set_slots(refusal ? 0 : this->target->slots);
+        this->deliver_decisions(refusal ? this->queue.refuse_all(*refusal)
+                                        : this->queue.dispatch(boot_clock::now()));
+    }
+
+    // The target's own limit and that of its warm-up both hold.
+    void update_rate_limit(boot_time now) {
+        auto limit = this->notice.rate_limit;
+        auto const cold_limit = this->warming.rate_limit(now);
+        if (cold_limit) {
+            limit = std::min(limit.value_or(*cold_limit), *cold_limit);
+        }
+        this->metrics.gate_target_cold.set(cold_limit ? 1 : 0);
+        if (limit == this->rate_limit) {
+            return;
+        }
+        this->rate_limit = limit;
+        this->queue.set_rate_limit(limit, now);
+        if (limit) {
+            log::write(log::level::warning, "target_rate_limited",
+                       {{"requests_per_second", *limit}, {"is_cold", cold_limit.has_value()}});
+        } else {
+            log::write(log::level::info, "target_rate_unlimited", {});
+        }
+    }
+
     bool is_target_blocked() const {
         return this->target && !this->blocked_version.empty() &&
                this->target->version == this->blocked_version;
     }
 
     std::optional<gate_refusal> check(gate_call const& call) const {
-        if (!this->target) {
-            return gate_refusal{result_code::request_no_endpoint, {}};
-        }
-        if (!is_in_service(this->target->state)) {
-            return gate_refusal{result_code::request_draining, {}};
-        }
-        if (this->is_target_blocked()) {
-            return gate_refusal{result_code::request_version_blocked, {}};
+        if (auto const refusal = this->service_refusal()) {
+            return gate_refusal{*refusal, {}};
         }
         if (this->target->id != call.target_id) {
             return gate_refusal{result_code::request_misdirected, {}, {}, this->target};
@@ -218,7 +276,10 @@
         co_return *waiting->decision;
     }
 
-    void dispatch(boot_time now) { this->deliver_decisions(this->queue.dispatch(now)); }
+    void dispatch(boot_time now) {
+        this->update_rate_limit(now);
+        this->deliver_decisions(this->queue.dispatch(now));
+    }
 
     void deliver_decisions(gate_queue::dequeued_requests const& dequeued) {
         for (auto const number : dequeued.started) {
@@ -353,6 +414,8 @@
             return;
         }
         this->reach.observe_failure(now);
+        // A target without a listener may be one that is starting again.
+        this->warming.presume_cold();
         if (this->reach.is_lost(now) && this->target->state == target_state::ready) {
             this->report_target_state(target_state::unreachable);
         }
@@ -386,10 +449,8 @@
         if (next == this->notice) {
             return;
         }
-        if (next.rate_limit != this->notice.rate_limit) {
-            this->apply_rate_limit(next.rate_limit);
-        }
         this->notice = next;
+        this->update_rate_limit(boot_clock::now());
         if (next.is_leaving && is_in_service(this->target->state)) {
             auto draining = *this->target;
             draining.state = target_state::draining;
@@ -398,16 +459,6 @@
         }
     }
 
-    void apply_rate_limit(std::optional<double> requests_per_second) {
-        this->queue.set_rate_limit(requests_per_second, boot_clock::now());
-        if (requests_per_second) {
-            log::write(log::level::warning, "target_rate_limited",
-                       {{"requests_per_second", *requests_per_second}});
-        } else {
-            log::write(log::level::info, "target_rate_unlimited", {});
-        }
-    }
-
     void report(observed_request& observed, call_outcome result) {
         auto const now = boot_clock::now();
         this->failures.observe(result == call_outcome::failed
@@ -462,6 +513,11 @@
     target_notice notice;
     bool has_notice = false;
     std::string blocked_version;
+    bool is_zone_evacuated = false;
+    std::optional<double> cold_rate;
+    warm_up warming;
+    /// The limit that the queue applies.
+    std::optional<double> rate_limit;
     gate_queue queue;
     std::unordered_map<std::uint64_t, std::shared_ptr<waiter>> waiters;
     recent_ids forwarded_ids;
@@ -488,6 +544,18 @@
     this->self->set_blocked_version(std::move(version));
 }
 
+void target_gate::set_zone_evacuated(bool is_evacuated) {
+    this->self->set_zone_evacuated(is_evacuated);
+}
+
+void target_gate::set_terms(service_terms const& terms) {
+    this->self->set_terms(terms);
+}
+
+void target_gate::observe_warm_up(milliseconds remaining) {
+    this->self->observe_warm_up(remaining);
+}
+
 void target_gate::set_stop_time(boot_time at) {
     this->self->set_stop_time(at);
 }
--- a/libraries/sidecar/target_gate.h
+++ b/libraries/sidecar/target_gate.h
@@ -19,6 +19,7 @@
 
 class connection_pool;
 class rollout_evidence;
+struct service_terms;
 struct sidecar_metrics;
 
 /// Admission control for the local target. All requests to the target pass through it, whether they
@@ -53,6 +54,15 @@
     /// Sets the version whose targets receive no requests; an empty text blocks none.
     void set_blocked_version(std::string version);
 
+    /// While the target's availability zone is evacuated, every request is refused.
+    void set_zone_evacuated(bool is_evacuated);
+
+    /// Sets what the target accepts according to the configuration.
+    void set_terms(service_terms const& terms);
+
+    /// Records for how much longer the target is cold, as it has announced.
+    void observe_warm_up(milliseconds remaining);
+
     /// Sets the time at which the node stops; requests that may not complete by then are refused.
     void set_stop_time(boot_time at);
 
--- a/libraries/sidecar/view_builder.cpp
+++ b/libraries/sidecar/view_builder.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/view_builder.h"
 
 #include "core/log.h"
+#include "mesh/evacuation_history.h"
 #include "mesh/member_history.h"
 #include "mesh/mesh_configuration.h"
 #include "mesh/rollout_history.h"
@@ -92,12 +93,41 @@
         return this->rollouts.update(stored, rows.era(store_keys::operator_table));
     }
 
+    std::set<std::string, std::less<>> read_evacuations(row_replica const& rows) {
+        std::set<std::string> stored;
+        for (auto const* row :
+             rows.rows(store_keys::operator_table, store_keys::evacuation_prefix)) {
+            stored.insert(row->key.substr(store_keys::evacuation_prefix.size()));
+        }
+        auto in_force = this->evacuations.update(stored, rows.era(store_keys::operator_table));
+        if (in_force != this->evacuated_zones) {
+            this->log_evacuations(in_force);
+            this->evacuated_zones = in_force;
+        }
+        return in_force;
+    }
+
+    void log_evacuations(std::set<std::string, std::less<>> const& in_force) const {
+        for (auto const& zone : in_force) {
+            if (!this->evacuated_zones.contains(zone)) {
+                log::write(log::level::warning, "zone_evacuated", {{"zone", zone}});
+            }
+        }
+        for (auto const& zone : this->evacuated_zones) {
+            if (!in_force.contains(zone)) {
+                log::write(log::level::info, "zone_evacuation_ended", {{"zone", zone}});
+            }
+        }
+    }
+
     std::shared_ptr<mesh_configuration const> configuration;
     store_revision configuration_revision;
     bool has_unknown_values = false;
     std::uint64_t refused_configurations = 0;
     member_history members;
     rollout_history rollouts;
+    evacuation_history evacuations;
+    std::set<std::string, std::less<>> evacuated_zones;
 };
 
 std::optional<rollout> recorded_rollout(row_replica const& rows, std::string_view service) {
@@ -126,6 +156,7 @@
         std::ranges::sort(members, {}, &member::instance);
     }
     view->rollouts = this->self->read_rollouts(rows);
+    view->evacuated_zones = this->self->read_evacuations(rows);
     return view;
 }
 
--- a/tests/adapter/decoders_test.cpp
+++ b/tests/adapter/decoders_test.cpp
@@ -102,8 +102,8 @@
 
 // Guards against workspaces, public routes and terms of cold targets that are read wrongly.
 TEST(decode_configuration, workspaces_and_cold_targets_are_read) {
-    auto const decoded = decode_configuration(
-        text_with_workspaces(workspace_text("mill", R"("ApiKeys":[])")));
+    auto const decoded =
+        decode_configuration(text_with_workspaces(workspace_text("mill", R"("ApiKeys":[])")));
     CHECK(is_ok(decoded));
     auto const& configuration = *value(decoded);
     UNSIGNED_LONGS_EQUAL(2, configuration.workspaces().size());
@@ -120,8 +120,10 @@
 // open another, or a quota would be none.
 TEST(decode_configuration, invalid_workspace_refuses_the_configuration) {
     for (auto const& more :
-         {workspace_text("mill", R"("ApiKeys":["k1"])"), workspace_text("mill", R"("ApiKeys":["k3","k3"])"),
-          workspace_text("", R"("ApiKeys":["k3"])"), workspace_text("bakery", R"("ApiKeys":["k3"])"),
+         {workspace_text("mill", R"("ApiKeys":["k1"])"),
+          workspace_text("mill", R"("ApiKeys":["k3","k3"])"),
+          workspace_text("", R"("ApiKeys":["k3"])"),
+          workspace_text("bakery", R"("ApiKeys":["k3"])"),
           workspace_text("mill", R"("ApiKeys":[""])"), workspace_text("mill", R"("ApiKeys":"k3")"),
           workspace_text("mill", R"("ApiKeys":[3])"), workspace_text("mill", R"("Priority":1)"),
           workspace_text("mill", R"("ApiKeys":["k3"],"RatePerS":-1)"),
