quotas: admit requests within the quotas of the whole fleet

Nothing counted the requests of a workspace, so its quota was exceeded as soon as it asked for more. Each node owns an equal share of every quota and delegates it for a second at a time to the node of a pool, which lends tokens on demand; what a pool lends follows only from the shares that it holds, so the bound needs no agreement.

--- /dev/null
+++ b/libraries/quotas/quota_pool.cpp
@@ -0,0 +1,69 @@
+#include "quotas/quota_pool.h"
+
+#include "quotas/quota_bucket.h"
+
+#include <unordered_map>
+
+namespace peridot {
+
+namespace {
+
+// A pool lends whole tokens, so it must be able to hold one.
+constexpr double min_capacity = 1.0;
+// Rounds the time to wait up, so that it is not told as zero.
+constexpr milliseconds min_retry_after{1};
+
+} // namespace
+
+class quota_pool::implementation {
+public:
+    quota_table terms;
+    share_delegations delegations;
+    std::unordered_map<quota_key, quota_bucket> buckets;
+};
+
+quota_pool::quota_pool() : self(std::make_unique<implementation>()) {}
+
+quota_pool::~quota_pool() = default;
+
+void quota_pool::set_terms(quota_table const& terms) {
+    this->self->terms = terms;
+    std::erase_if(this->self->buckets,
+                  [&](auto const& entry) { return !terms.contains(entry.first); });
+    for (auto& [workspace, bucket] : this->self->buckets) {
+        bucket.set_terms(terms.at(workspace));
+    }
+}
+
+void quota_pool::set_node_count(unsigned count, boot_time now) {
+    this->self->delegations.set_node_count(count, now);
+}
+
+void quota_pool::delegate(std::string_view instance, boot_time until, boot_time now) {
+    this->self->delegations.delegate(instance, until, now);
+}
+
+quota_grant quota_pool::lend(quota_key workspace, unsigned wanted, boot_time now) {
+    auto& impl = *this->self;
+    auto const terms = impl.terms.find(workspace);
+    if (terms == impl.terms.end()) {
+        return {};
+    }
+    double const share_seconds = impl.delegations.share_seconds(now);
+    double const share = impl.delegations.share(now);
+    auto& bucket = impl.buckets.try_emplace(workspace, quota_bucket(terms->second, share_seconds))
+                       .first->second;
+    bucket.refill(share_seconds, share, min_capacity);
+    quota_grant grant;
+    grant.tokens = bucket.take(wanted);
+    if (grant.tokens == 0 && wanted > 0) {
+        grant.retry_after = std::chrono::ceil<milliseconds>(bucket.defer(share)) + min_retry_after;
+    }
+    return grant;
+}
+
+double quota_pool::share(boot_time now) const {
+    return this->self->delegations.share(now);
+}
+
+} // namespace peridot
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -18,6 +18,7 @@
 #include "platform/messages.h"
 #include "sidecar/body_limits.h"
 #include "sidecar/hop_message.h"
+#include "sidecar/quota_agent.h"
 #include "sidecar/request_placement.h"
 #include "sidecar/sidecar_metrics.h"
 #include "sidecar/target_gate.h"
@@ -46,12 +47,14 @@
 constexpr milliseconds max_caller_wait{120'000};
 constexpr milliseconds unready_retry_after{300};
 constexpr milliseconds no_target_retry_after{250};
+constexpr milliseconds min_quota_retry_after{20};
 constexpr unsigned first_failure_status = 500;
 
 namespace status_codes {
 constexpr unsigned malformed = 400;
 constexpr unsigned unauthenticated = 401;
 constexpr unsigned no_route = 404;
+constexpr unsigned over_quota = 429;
 constexpr unsigned bad_gateway = 502;
 constexpr unsigned unavailable = 503;
 constexpr unsigned gateway_timeout = 504;
@@ -63,11 +66,13 @@
 public:
     implementation(node_identity own, deployment_bounds const& bounds,
                    rcu_cell<fleet_view> const& fleet, connection_pool& pool, target_gate& own_gate,
-                   sidecar_metrics& node_metrics, newer_configuration_handler handler)
+                   quota_agent& node_quotas, sidecar_metrics& node_metrics,
+                   newer_configuration_handler handler)
         : identity(std::move(own))
         , views(fleet)
         , connections(pool)
         , gate(own_gate)
+        , quotas(node_quotas)
         , metrics(node_metrics)
         , report_newer_configuration(std::move(handler))
         , retry_budget({bounds.retry_ratio, bounds.retry_extra})
@@ -103,6 +108,11 @@
         if (view->configuration->has_workspaces()) {
             write_workspace(request, caller_workspace->name);
         }
+        auto const quota = co_await this->quotas.acquire(caller_workspace->name);
+        auto const* admitted = std::get_if<quota_admission>(&quota);
+        if (admitted == nullptr) {
+            co_return this->refuse_for_quota(quota, *caller, *caller_workspace);
+        }
         request_placement placement;
         placement.view = view;
         placement.configuration = view->configuration;
@@ -117,6 +127,9 @@
         this->prepare_call(placement, *caller);
         this->retry_budget.record_request(placement.service, route->name, *view, arrived);
         auto answer = co_await this->place_or_abort(placement);
+        if (admitted->token && placement.sends == 0 && !placement.may_have_run) {
+            this->quotas.give_back(*admitted->token);
+        }
         this->metrics.request_duration.record(boot_clock::now() - arrived);
         this->log_outcome(placement, answer);
         co_return answer;
@@ -147,6 +160,19 @@
         return make_local_answer(status_codes::unauthenticated, caller.attempt_id, std::nullopt);
     }
 
+    http_response refuse_for_quota(quota_decision const& decision, request_metadata const& caller,
+                                   workspace const& owner) const {
+        auto const* exceeded = std::get_if<quota_exceeded>(&decision);
+        log::write(log::level::info, exceeded != nullptr ? "request_over_quota" : "quota_unknown",
+                   {{"request", caller.attempt_id}, {"workspace", owner.name}});
+        if (exceeded == nullptr) {
+            return make_local_answer(status_codes::unavailable, caller.attempt_id,
+                                     unready_retry_after);
+        }
+        return make_local_answer(status_codes::over_quota, caller.attempt_id,
+                                 std::max(exceeded->retry_after, min_quota_retry_after));
+    }
+
     // Logs one line per request with its outcome and the configuration version that was used.
     void log_outcome(request_placement const& placement, http_response const& answer) const {
         auto const held =
@@ -576,6 +602,7 @@
     rcu_cell<fleet_view> const& views;
     connection_pool& connections;
     target_gate& gate;
+    quota_agent& quotas;
     sidecar_metrics& metrics;
     newer_configuration_handler report_newer_configuration;
     fleet_retry_budget retry_budget;
@@ -590,10 +617,11 @@
 
 call_entry::call_entry(node_identity identity, deployment_bounds const& bounds,
                        rcu_cell<fleet_view> const& views, connection_pool& connections,
-                       target_gate& gate, sidecar_metrics& metrics,
+                       target_gate& gate, quota_agent& quotas, sidecar_metrics& metrics,
                        newer_configuration_handler report_newer_configuration)
     : self(std::make_unique<implementation>(std::move(identity), bounds, views, connections, gate,
-                                            metrics, std::move(report_newer_configuration))) {}
+                                            quotas, metrics,
+                                            std::move(report_newer_configuration))) {}
 
 call_entry::~call_entry() = default;
 
--- a/libraries/sidecar/call_entry.h
+++ b/libraries/sidecar/call_entry.h
@@ -16,6 +16,7 @@
 namespace peridot {
 
 class connection_pool;
+class quota_agent;
 class target_gate;
 struct sidecar_metrics;
 
@@ -43,7 +44,8 @@
 
     call_entry(node_identity identity, deployment_bounds const& bounds,
                rcu_cell<fleet_view> const& views, connection_pool& connections, target_gate& gate,
-               sidecar_metrics& metrics, newer_configuration_handler report_newer_configuration);
+               quota_agent& quotas, sidecar_metrics& metrics,
+               newer_configuration_handler report_newer_configuration);
     ~call_entry();
     call_entry(call_entry const&) = delete;
     call_entry& operator=(call_entry const&) = delete;
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -25,6 +25,11 @@
           registry.register_counter(requests_name, requests_help, {{"outcome", "no_route"}}))
     , unauthenticated_requests(
           registry.register_counter(requests_name, requests_help, {{"outcome", "unauthenticated"}}))
+    , quota_refusals(
+          registry.register_counter(requests_name, requests_help, {{"outcome", "over_quota"}}))
+    , quota_unavailable(registry.register_counter(
+          "peridot_quota_unavailable_total",
+          "Requests refused because no node that lends tokens of quotas answered."))
     , retried_requests(registry.register_counter("peridot_requests_sent_again_total",
                                                  "Requests that reached a further target."))
     , interrupted_responses(
@@ -35,6 +40,9 @@
     , evacuation_refusals(registry.register_counter(
           "peridot_evacuation_refusals_total",
           "Requests refused because every zone with targets of the service is evacuated."))
+    , quota_share_lent(registry.register_gauge(
+          "peridot_quota_share_percent",
+          "Share of the quotas that nodes have delegated to a pool of this node."))
     , gate_in_use(registry.register_gauge("peridot_gate_slots_in_use",
                                           "Requests that the target is at work on."))
     , gate_waiting(registry.register_gauge("peridot_gate_waiting_requests",
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -17,10 +17,13 @@
     counter& unknown_outcomes;
     counter& unrouted_requests;
     counter& unauthenticated_requests;
+    counter& quota_refusals;
+    counter& quota_unavailable;
     counter& retried_requests;
     counter& interrupted_responses;
     counter& gate_refusals;
     counter& evacuation_refusals;
+    gauge& quota_share_lent;
     gauge& gate_in_use;
     gauge& gate_waiting;
     gauge& gate_version_blocked;
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -19,6 +19,7 @@
 #include "sidecar/commit_message.h"
 #include "sidecar/fleet_sync.h"
 #include "sidecar/hop_message.h"
+#include "sidecar/quota_agent.h"
 #include "sidecar/rollout_evidence.h"
 #include "sidecar/rollout_steering.h"
 #include "sidecar/sidecar_metrics.h"
@@ -92,7 +93,8 @@
         , evidence(views, initial.service)
         , gate(data_context, connections, initial.target, metrics, evidence,
                [this](target_record const& observed) { this->record_state(observed); })
-        , entry(identity_of(initial), bounds, views, connections, gate, metrics,
+        , quotas(data_context, initial.instance, {initial.ip, initial.control_port}, views, metrics)
+        , entry(identity_of(initial), bounds, views, connections, gate, quotas, metrics,
                 [this](std::string const& ip, std::uint64_t version) {
                     this->request_newer_configuration(ip, version);
                 })
@@ -145,6 +147,10 @@
                 return failure(bound);
             }
         }
+        auto const listening = this->quotas.listen();
+        if (!is_ok(listening)) {
+            return failure(listening);
+        }
         for (auto const& seed : this->settings.seeds) {
             auto const address = parse_socket_address(seed);
             if (is_ok(address)) {
@@ -315,6 +321,7 @@
             this->apply_limits(view->configuration->limits());
             this->apply_terms(*view->configuration);
         }
+        asio::post(this->data_context, [this] { this->quotas.view_changed(); });
         if (view) {
             this->apply_evacuation(
                 view->evacuated_zones.contains(this->settings.availability_zone));
@@ -458,6 +465,7 @@
     sidecar_metrics metrics{registry};
     rollout_evidence evidence;
     target_gate gate;
+    quota_agent quotas;
     call_entry entry;
     fleet_sync fleet;
     target_announcements announcements;
