quotas: keep what accrued before the first request, ask silent pools less

A workspace's tokens began to accrue with its first request, so 227 requests were refused in the first second of traffic; they accrue from the first delegation on now. A pause of a node's own process made it take a pool for silent; unanswered checks are counted instead of elapsed time. A silent pool is asked again after 2 to 16 s. Delegations last 0.6 s, since they bind shares to a pool that has died. Half of the tolerated excess goes to the burst of each quota: random arrivals of a small workspace rarely fit its own.

--- a/libraries/quotas/quota_account.cpp
+++ b/libraries/quotas/quota_account.cpp
@@ -32,8 +32,7 @@
     };
 
     struct workspace_state {
-        explicit workspace_state(quota_terms const& terms, double share_seconds)
-            : own(terms, share_seconds) {}
+        explicit workspace_state(quota_terms const& terms) : own(terms) {}
 
         std::deque<lent_tokens> lent;
         quota_bucket own;
@@ -43,9 +42,7 @@
     };
 
     workspace_state& state_of(quota_key workspace) {
-        return this->states
-            .try_emplace(workspace, this->terms.at(workspace), this->own_share_seconds)
-            .first->second;
+        return this->states.try_emplace(workspace, this->terms.at(workspace)).first->second;
     }
 
     // The own share accrues only while it is not delegated.
--- a/libraries/quotas/quota_bucket.cpp
+++ b/libraries/quotas/quota_bucket.cpp
@@ -12,8 +12,7 @@
 
 } // namespace
 
-quota_bucket::quota_bucket(quota_terms const& terms, double share_seconds)
-    : terms(terms), accrued_to(share_seconds) {}
+quota_bucket::quota_bucket(quota_terms const& terms) : terms(terms) {}
 
 void quota_bucket::refill(double share_seconds, double share, double min_capacity) {
     double const accrued = (share_seconds - this->accrued_to) * this->terms.rate_per_second;
--- a/libraries/quotas/quota_bucket.h
+++ b/libraries/quotas/quota_bucket.h
@@ -11,8 +11,8 @@
 /// seconds of the whole quota.
 class quota_bucket {
 public:
-    /// Starts empty: a predecessor may have lent the burst already.
-    quota_bucket(quota_terms const& terms, double share_seconds);
+    /// Starts empty when no share was held yet: a predecessor may have lent the burst already.
+    explicit quota_bucket(quota_terms const& terms);
 
     void set_terms(quota_terms const& changed) { this->terms = changed; }
 
@@ -29,7 +29,7 @@
 
 private:
     quota_terms terms;
-    double accrued_to;
+    double accrued_to = 0;
     double tokens = 0;
     /// Requests that were told to come back and for which no token has accrued yet.
     double deferred = 0;
--- a/libraries/quotas/quota_pool.cpp
+++ b/libraries/quotas/quota_pool.cpp
@@ -51,8 +51,7 @@
     }
     double const share_seconds = impl.delegations.share_seconds(now);
     double const share = impl.delegations.share(now);
-    auto& bucket = impl.buckets.try_emplace(workspace, quota_bucket(terms->second, share_seconds))
-                       .first->second;
+    auto& bucket = impl.buckets.try_emplace(workspace, terms->second).first->second;
     bucket.refill(share_seconds, share, min_capacity);
     quota_grant grant;
     grant.tokens = bucket.take(wanted);
--- a/libraries/sidecar/quota_agent.cpp
+++ b/libraries/sidecar/quota_agent.cpp
@@ -37,20 +37,28 @@
 // Pools share the load of lending; each needs a delegation of every node once in a while.
 constexpr std::uint32_t pool_count = 4;
 constexpr milliseconds tick_period{50};
-constexpr milliseconds delegation_time{1000};
-constexpr milliseconds delegation_renewal{500};
+constexpr milliseconds delegation_time{600};
+constexpr milliseconds delegation_renewal{250};
 // A delegation counts from its receipt at the pool and from its sending at the node.
-constexpr milliseconds delegation_margin{200};
+constexpr milliseconds delegation_margin{150};
 // Bounds the tokens that are outstanding, and with them how far the quota can be exceeded.
 constexpr milliseconds token_lifetime{400};
-constexpr milliseconds answer_timeout{50};
+// An answer is missing after this many checks, one each tick. A node that gets no processor time
+// for a while makes fewer checks, so it does not take its own pause for the pool's silence.
+constexpr unsigned max_unanswered_checks = 2;
 constexpr unsigned max_failures = 2;
-constexpr milliseconds suspicion_time{2000};
-constexpr milliseconds max_wait{200};
+// Time for which a silent node is not asked; doubles each time that it is silent again.
+constexpr milliseconds first_suspicion{2000};
+constexpr milliseconds longest_suspicion{16'000};
+constexpr milliseconds max_wait{300};
 // Time for which nodes that have left still count as owners of a share, since others may not know
 // yet that they have.
 constexpr milliseconds node_count_memory{5000};
 constexpr unsigned max_borrowed = 64;
+// Part of the excess over a quota that the deployment tolerates. It is given to small workspaces,
+// whose random arrivals would otherwise often be refused within their quota; the rest covers lent
+// tokens.
+constexpr double used_excess = 0.5;
 constexpr std::size_t max_datagram = 2048;
 
 } // namespace
@@ -58,10 +66,12 @@
 class quota_agent::implementation : public std::enable_shared_from_this<implementation> {
 public:
     implementation(asio::io_context& io, std::string own_instance, socket_address own,
-                   rcu_cell<fleet_view> const& fleet, sidecar_metrics& node_metrics)
+                   double tolerated_excess, rcu_cell<fleet_view> const& fleet,
+                   sidecar_metrics& node_metrics)
         : context(io)
         , instance(std::move(own_instance))
         , address(std::move(own))
+        , extra_burst(tolerated_excess * used_excess)
         , views(fleet)
         , metrics(node_metrics)
         , socket(io)
@@ -171,6 +181,13 @@
         std::uint64_t sequence = 0;
         boot_time sent;
         std::string asked;
+        unsigned checks = 0;
+    };
+
+    // A node that did not answer.
+    struct suspicion {
+        boot_time until;
+        milliseconds time{0};
     };
 
     // One pool as this node sees it, and the part of it that this node lends when it is asked.
@@ -178,7 +195,7 @@
         quota_account account;
         quota_pool lender;
         std::vector<pool_candidate> order;
-        std::map<std::string, boot_time> suspected_until;
+        std::map<std::string, suspicion> suspicions;
         std::list<waiter*> waiters;
         /// Workspaces for whose expected demand the node holds too few tokens.
         std::set<quota_key> short_of_tokens;
@@ -200,7 +217,7 @@
         for (auto const& each : this->configuration->workspaces()) {
             if (each.has_quota()) {
                 auto const key = quota_key_of(each.name);
-                terms[index_of(key)][key] = {each.rate_per_second, each.burst};
+                terms[index_of(key)][key] = {each.rate_per_second, each.burst + this->extra_burst};
             }
         }
         bool const has_quotas =
@@ -275,7 +292,7 @@
     }
 
     void check(pool_state& pool, boot_time now) {
-        if (pool.pending && now - pool.pending->sent >= answer_timeout) {
+        if (pool.pending && ++pool.pending->checks >= max_unanswered_checks) {
             this->record_failure(pool, now);
         }
         if (!pool.pending && (!pool.waiters.empty() || now >= pool.renewal_due)) {
@@ -292,16 +309,18 @@
         }
         pool.failures = 0;
         pool.renewal_due = now;
-        pool.suspected_until[asked] = now + suspicion_time;
-        log::write(log::level::warning, "quota_pool_silent", {{"instance", asked}});
+        auto& silent = pool.suspicions[asked];
+        silent.time = std::clamp(silent.time * 2, first_suspicion, longest_suspicion);
+        silent.until = now + silent.time;
+        log::write(log::level::warning, "quota_pool_silent",
+                   {{"instance", asked}, {"nodes", static_cast<std::int64_t>(this->node_count)}});
     }
 
     // The first node of the pool's order that is not known to be silent.
     pool_candidate const* lender_of(pool_state& pool, boot_time now) {
-        std::erase_if(pool.suspected_until,
-                      [now](auto const& entry) { return entry.second <= now; });
         auto const found = std::ranges::find_if(pool.order, [&](pool_candidate const& candidate) {
-            return !pool.suspected_until.contains(candidate.instance);
+            auto const known = pool.suspicions.find(candidate.instance);
+            return known == pool.suspicions.end() || known->second.until <= now;
         });
         return found == pool.order.end() ? nullptr : &*found;
     }
@@ -439,6 +458,7 @@
             return;
         }
         auto const expires = pool.pending->sent + token_lifetime;
+        pool.suspicions.erase(pool.pending->asked);
         pool.pending.reset();
         pool.failures = 0;
         auto const now = boot_clock::now();
@@ -470,6 +490,7 @@
     asio::io_context& context;
     std::string instance;
     socket_address address;
+    double extra_burst;
     rcu_cell<fleet_view> const& views;
     sidecar_metrics& metrics;
     udp::socket socket;
@@ -483,9 +504,10 @@
 };
 
 quota_agent::quota_agent(asio::io_context& context, std::string instance, socket_address own,
-                         rcu_cell<fleet_view> const& views, sidecar_metrics& metrics)
-    : self(std::make_shared<implementation>(context, std::move(instance), std::move(own), views,
-                                            metrics)) {}
+                         double tolerated_excess, rcu_cell<fleet_view> const& views,
+                         sidecar_metrics& metrics)
+    : self(std::make_shared<implementation>(context, std::move(instance), std::move(own),
+                                            tolerated_excess, views, metrics)) {}
 
 quota_agent::~quota_agent() = default;
 
--- a/libraries/sidecar/quota_agent.h
+++ b/libraries/sidecar/quota_agent.h
@@ -24,9 +24,11 @@
 /// thread-safe.
 class quota_agent {
 public:
-    /// `own` is the address for datagrams; the port is the same on all nodes.
+    /// `own` is the address for datagrams; the port is the same on all nodes. `tolerated_excess` is
+    /// the number of requests by which a workspace may exceed its quota in a window.
     quota_agent(boost::asio::io_context& context, std::string instance, socket_address own,
-                rcu_cell<fleet_view> const& views, sidecar_metrics& metrics);
+                double tolerated_excess, rcu_cell<fleet_view> const& views,
+                sidecar_metrics& metrics);
     ~quota_agent();
     quota_agent(quota_agent const&) = delete;
     quota_agent& operator=(quota_agent const&) = delete;
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -93,7 +93,8 @@
         , evidence(views, initial.service)
         , gate(data_context, connections, initial.target, metrics, evidence,
                [this](target_record const& observed) { this->record_state(observed); })
-        , quotas(data_context, initial.instance, {initial.ip, initial.control_port}, views, metrics)
+        , quotas(data_context, initial.instance, {initial.ip, initial.control_port},
+                 bounds.quota_extra, views, metrics)
         , entry(identity_of(initial), bounds, views, connections, gate, quotas, metrics,
                 [this](std::string const& ip, std::uint64_t version) {
                     this->request_newer_configuration(ip, version);
