quotas: let shares move without a gap, and requests outlive their quota

Review of the parts on quotas. A configuration that ended the quota of a workspace while a request waited for its token made the agent look up terms that no longer exist, which throws. A node that was taken for silent was asked again while the shares were still delegated to its successor, so everybody was refused for up to 1.2 s; the holder of the share is now asked until its delegation ends. A pool whose process had been suspended counted the delegations that had waited in its socket from the moment it resumed, and kept the burst that it had saved up; the own share kept a burst beside the pool's. A request that waits keeps the agent, since requests are destroyed after the node's parts.

--- a/libraries/quotas/quota_account.cpp
+++ b/libraries/quotas/quota_account.cpp
@@ -97,6 +97,13 @@
 
 void quota_account::set_delegated_until(boot_time until, boot_time now) {
     this->self->advance(now);
+    if (now >= this->self->delegated_until && until > now) {
+        // The pool has a burst of its own, so what the share has saved up would be admitted twice.
+        for (auto& [workspace, state] : this->self->states) {
+            state.own =
+                quota_bucket(this->self->terms.at(workspace), this->self->own_share_seconds);
+        }
+    }
     this->self->delegated_until = std::max(this->self->delegated_until, until);
 }
 
--- a/libraries/quotas/quota_pool.cpp
+++ b/libraries/quotas/quota_pool.cpp
@@ -17,6 +17,14 @@
 
 class quota_pool::implementation {
 public:
+    void refill_all(boot_time now) {
+        double const share_seconds = this->delegations.share_seconds(now);
+        double const share = this->delegations.share(now);
+        for (auto& [workspace, bucket] : this->buckets) {
+            bucket.refill(share_seconds, share, min_capacity);
+        }
+    }
+
     quota_table terms;
     share_delegations delegations;
     std::unordered_map<quota_key, quota_bucket> buckets;
@@ -40,7 +48,13 @@
 }
 
 void quota_pool::delegate(std::string_view instance, boot_time until, boot_time now) {
-    this->self->delegations.delegate(instance, until, now);
+    auto& impl = *this->self;
+    if (!impl.delegations.is_delegated(instance, now)) {
+        // Tokens of shares that have ended since the last request must not outlive them until
+        // others replace them: the pool that held these meanwhile has lent their burst.
+        impl.refill_all(now);
+    }
+    impl.delegations.delegate(instance, until, now);
 }
 
 quota_grant quota_pool::lend(quota_key workspace, unsigned wanted, boot_time now) {
--- a/libraries/quotas/share_delegations.cpp
+++ b/libraries/quotas/share_delegations.cpp
@@ -19,6 +19,11 @@
     found->second = std::max(found->second, until);
 }
 
+bool share_delegations::is_delegated(std::string_view instance, boot_time now) const {
+    auto const found = this->until_by_instance.find(instance);
+    return found != this->until_by_instance.end() && found->second > now;
+}
+
 double share_delegations::share(boot_time now) const {
     auto const live = std::ranges::count_if(
         this->until_by_instance, [now](auto const& entry) { return entry.second > now; });
--- a/libraries/quotas/share_delegations.h
+++ b/libraries/quotas/share_delegations.h
@@ -23,6 +23,8 @@
     /// Records that the node delegates its share until the given time.
     void delegate(std::string_view instance, boot_time until, boot_time now);
 
+    bool is_delegated(std::string_view instance, boot_time now) const;
+
     /// Returns the part of the quotas that is delegated now, from 0 to 1.
     double share(boot_time now) const;
 
--- a/libraries/sidecar/quota_agent.cpp
+++ b/libraries/sidecar/quota_agent.cpp
@@ -6,6 +6,7 @@
 #include "mesh/workspace.h"
 #include "observability/counter.h"
 #include "observability/gauge.h"
+#include "quotas/lender_choice.h"
 #include "quotas/pool_order.h"
 #include "quotas/quota_account.h"
 #include "quotas/quota_message.h"
@@ -37,10 +38,10 @@
 // Pools share the load of lending; each needs a delegation of every node once in a while.
 constexpr std::uint32_t pool_count = 4;
 constexpr milliseconds tick_period{50};
-constexpr milliseconds delegation_time{1000};
 constexpr milliseconds delegation_renewal{500};
-// A delegation counts from its receipt at the pool and from its sending at the node.
-constexpr milliseconds delegation_margin{200};
+// Datagrams that waited longer are discarded; less than the margin of a delegation.
+constexpr milliseconds max_receive_delay{150};
+constexpr std::size_t max_discarded_datagrams = 100'000;
 // Bounds the tokens that are outstanding, and with them how far the quota can be exceeded.
 constexpr milliseconds token_lifetime{400};
 constexpr milliseconds answer_timeout{50};
@@ -102,6 +103,8 @@
     }
 
     asio::awaitable<quota_decision> acquire(std::string workspace) {
+        // A request that still waits when the node stops is destroyed after the agent.
+        auto const kept = this->shared_from_this();
         auto const key = quota_key_of(workspace);
         auto& pool = this->pool_of(key);
         if (workspace.empty() || !pool.account.has_quota(key)) {
@@ -177,15 +180,13 @@
     struct pool_state {
         quota_account account;
         quota_pool lender;
-        std::vector<pool_candidate> order;
-        std::map<std::string, boot_time> suspected_until;
+        lender_choice choice;
+        lender_choice::suspicions suspected_until;
         std::list<waiter*> waiters;
         /// Workspaces for whose expected demand the node holds too few tokens.
         std::set<quota_key> short_of_tokens;
         std::optional<pending_request> pending;
         unsigned failures = 0;
-        std::string delegated_to;
-        boot_time delegated_until;
         boot_time renewal_due;
     };
 
@@ -208,20 +209,29 @@
         for (std::uint32_t index = 0; index < pool_count; ++index) {
             this->pools[index].account.set_terms(terms[index]);
             this->pools[index].lender.set_terms(terms[index]);
+            admit_without_quota(this->pools[index]);
         }
         if (has_quotas && !this->is_active) {
             this->activate();
         }
     }
 
-    // An earlier process of this node may have delegated its share until shortly before now.
+    // A configuration may end the quota of a workspace whose requests wait for tokens.
+    static void admit_without_quota(pool_state& pool) {
+        for (auto* each : pool.waiters) {
+            if (!each->decision && !pool.account.has_quota(each->workspace)) {
+                each->decide(quota_admission{});
+            }
+        }
+    }
+
     void activate() {
         this->is_active = true;
         auto const now = boot_clock::now();
         for (auto& pool : this->pools) {
-            pool.delegated_until = now + delegation_time + delegation_margin;
-            pool.account.set_delegated_until(pool.delegated_until, now);
+            pool.account.set_delegated_until(pool.choice.assume_delegated(now), now);
         }
+        this->last_tick = now;
         asio::co_spawn(this->context, tick_loop(this->shared_from_this()), asio::detached);
         asio::co_spawn(this->context, receive_loop(this->shared_from_this()), asio::detached);
     }
@@ -240,7 +250,7 @@
         }
         this->update_node_count(now);
         for (std::uint32_t index = 0; index < pool_count; ++index) {
-            this->pools[index].order = pool_order(candidates, index);
+            this->pools[index].choice.set_order(pool_order(candidates, index));
         }
     }
 
@@ -267,6 +277,10 @@
             timer.expires_after(tick_period);
             co_await timer.async_wait(to_tuple);
             auto const now = boot_clock::now();
+            if (self->is_delayed(now)) {
+                self->discard_datagrams();
+            }
+            self->last_tick = now;
             self->update_node_count(now);
             for (auto& pool : self->pools) {
                 self->check(pool, now);
@@ -296,23 +310,26 @@
         log::write(log::level::warning, "quota_pool_silent", {{"instance", asked}});
     }
 
-    // The first node of the pool's order that is not known to be silent.
-    pool_candidate const* lender_of(pool_state& pool, boot_time now) {
-        std::erase_if(pool.suspected_until,
-                      [now](auto const& entry) { return entry.second <= now; });
-        auto const found = std::ranges::find_if(pool.order, [&](pool_candidate const& candidate) {
-            return !pool.suspected_until.contains(candidate.instance);
-        });
-        return found == pool.order.end() ? nullptr : &*found;
+    // A delegation counts from its receipt, so one that waited while this process was suspended
+    // would count after its node has delegated its share to another pool.
+    bool is_delayed(boot_time now) const {
+        return now - this->last_tick > tick_period + max_receive_delay;
     }
 
-    // A share may be delegated to another pool only after its delegation has ended.
-    bool may_delegate(pool_state const& pool, std::string const& to, boot_time now) const {
-        return pool.delegated_to == to || now >= pool.delegated_until;
+    void discard_datagrams() {
+        boost::system::error_code failed;
+        this->socket.non_blocking(true, failed);
+        std::array<char, max_datagram> buffer{};
+        udp::endpoint sender;
+        for (std::size_t count = 0; !failed && count < max_discarded_datagrams; ++count) {
+            this->socket.receive_from(asio::buffer(buffer), sender, 0, failed);
+        }
     }
 
     void ask(pool_state& pool, boot_time now) {
-        auto const* lender = this->lender_of(pool, now);
+        std::erase_if(pool.suspected_until,
+                      [now](auto const& entry) { return entry.second <= now; });
+        auto const* lender = pool.choice.lender(pool.suspected_until, now);
         pool.renewal_due = now + delegation_renewal;
         if (lender == nullptr) {
             return;
@@ -322,11 +339,9 @@
         message.sequence = ++this->last_sequence;
         message.pool = static_cast<std::uint32_t>(&pool - this->pools.data());
         message.entries = this->wanted_tokens(pool, now);
-        if (this->may_delegate(pool, lender->instance, now)) {
+        if (pool.choice.may_delegate(lender->instance, pool.suspected_until, now)) {
             message.delegated = delegation_time;
-            pool.delegated_to = lender->instance;
-            pool.delegated_until = now + delegation_time + delegation_margin;
-            pool.account.set_delegated_until(pool.delegated_until, now);
+            pool.account.set_delegated_until(pool.choice.delegate(lender->instance, now), now);
         }
         pool.pending = pending_request{message.sequence, now, lender->instance};
         if (lender->instance == this->instance) {
@@ -407,9 +422,10 @@
             this->take_answer(value(message));
             return;
         }
+        auto const now = boot_clock::now();
         // A share of a node that is not counted would raise the sum above the quota.
-        if (this->known_nodes.contains(value(message).instance)) {
-            this->send(this->lend(value(message), boot_clock::now()), sender);
+        if (this->known_nodes.contains(value(message).instance) && !this->is_delayed(now)) {
+            this->send(this->lend(value(message), now), sender);
         }
     }
 
@@ -478,6 +494,7 @@
     std::shared_ptr<mesh_configuration const> configuration;
     std::set<std::string> known_nodes;
     unsigned node_count = 0;
+    boot_time last_tick;
     boot_time lower_count_since;
     bool is_active = false;
 };
--- a/tests/quotas/quota_pool_test.cpp
+++ b/tests/quotas/quota_pool_test.cpp
@@ -78,6 +78,17 @@
     UNSIGNED_LONGS_EQUAL(1, lend_all(after(seconds(30))));
 }
 
+// Guards against a burst that is lent twice: by the pool that saved it up before its shares ended,
+// and meanwhile by another one.
+TEST(quota_pool, burst_is_not_kept_while_the_shares_are_elsewhere) {
+    lend_all(start);
+    pool.delegate("a", after(seconds(10)), start);
+    pool.delegate("b", after(seconds(10)), start);
+    pool.delegate("a", after(seconds(60)), after(seconds(20)));
+    pool.delegate("b", after(seconds(60)), after(seconds(20)));
+    CHECK(lend_all(after(seconds(20))) <= 1);
+}
+
 TEST_GROUP(quota_account) {
     quota_account account;
 
@@ -103,6 +114,14 @@
     UNSIGNED_LONGS_EQUAL(5, take_all(after(milliseconds(1500))));
 }
 
+// Guards against a burst that is admitted twice: by the node's own share and by the pool.
+TEST(quota_account, own_tokens_end_with_a_delegation) {
+    take_all(start);
+    account.set_delegated_until(after(milliseconds(2500)), after(milliseconds(2000)));
+    UNSIGNED_LONGS_EQUAL(0, take_all(after(milliseconds(2500))));
+    UNSIGNED_LONGS_EQUAL(5, take_all(after(milliseconds(3000))));
+}
+
 // Guards against lent tokens that are used after their time, for example after a suspension.
 TEST(quota_account, lent_tokens_expire) {
     account.set_delegated_until(after(seconds(60)), start);
