mesh, sidecar: admit large responses by the rate of the link

Six targets on links of 14 Mbit/s were asked for 142 Mbit/s of responses of 90 kB. Slots do not limit that, so the queue in front of each link grew and all responses were late, small ones included. The node now learns the size of responses by route, reserves its link for large ones, refuses at once what cannot be delivered in time, tells senders the wait for the link, and writes large responses one after the other.

--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -5,6 +5,7 @@
 #include "http/connection_pool.h"
 #include "mesh/caller_wait_estimator.h"
 #include "mesh/fleet_retry_budget.h"
+#include "mesh/link_request.h"
 #include "mesh/mesh_configuration.h"
 #include "mesh/mesh_route.h"
 #include "mesh/share_selector.h"
@@ -20,6 +21,7 @@
 #include "sidecar/hop_message.h"
 #include "sidecar/quota_agent.h"
 #include "sidecar/request_placement.h"
+#include "sidecar/response_link.h"
 #include "sidecar/sidecar_metrics.h"
 #include "sidecar/target_gate.h"
 
@@ -66,13 +68,14 @@
 public:
     implementation(node_identity own, deployment_bounds const& bounds,
                    rcu_cell<fleet_view> const& fleet, connection_pool& pool, target_gate& own_gate,
-                   quota_agent& node_quotas, sidecar_metrics& node_metrics,
-                   newer_configuration_handler handler)
+                   quota_agent& node_quotas, response_link& instance_link,
+                   sidecar_metrics& node_metrics, newer_configuration_handler handler)
         : identity(std::move(own))
         , views(fleet)
         , connections(pool)
         , gate(own_gate)
         , quotas(node_quotas)
+        , link(instance_link)
         , metrics(node_metrics)
         , report_newer_configuration(std::move(handler))
         , retry_budget({bounds.retry_ratio, bounds.retry_extra})
@@ -228,6 +231,12 @@
     }
 
     asio::awaitable<http_response> place(request_placement& placement) {
+        // Whichever target answers, the response leaves over the link of this instance.
+        if (auto const refused = this->check_link(placement.call, placement.arrived)) {
+            placement.reason = refused->reason;
+            placement.retry_after = std::max(refused->retry_after, no_target_retry_after);
+            co_return this->make_final_answer(placement);
+        }
         while (placement.offers <
                max_offers + std::min(placement.uncounted_offers, max_uncounted_offers)) {
             auto const now = boot_clock::now();
@@ -272,6 +281,11 @@
         co_return this->make_final_answer(placement);
     }
 
+    std::optional<gate_refusal> check_link(gate_call const& call, boot_time now) const {
+        auto const available = now + this->link.remote_answer_time(call.route);
+        return this->link.find_refusal({call.route, available, call.soft_deadline, call.deadline});
+    }
+
     // A key may be withdrawn or given to another workspace while its request waits or is retried.
     static bool is_still_authorized(request_placement& placement) {
         auto const& latest = placement.view->configuration;
@@ -364,6 +378,9 @@
                                         this->gate.load(placement.call.route), boot_clock::now());
             co_return own;
         }
+        auto const offered = boot_clock::now();
+        auto reservation = this->link.reserve(
+            placement.call.route, offered + this->link.remote_answer_time(placement.call.route));
         http_request request = placement.request;
         write_hop_call(request, placement.call, boot_clock::now());
         exchange_options options;
@@ -390,6 +407,11 @@
                 this->report_newer_configuration(chosen.ip, answer.state->configuration);
             }
         }
+        if (auto const* ran = std::get_if<gate_ran>(&answer.answer)) {
+            this->link.observe_remote_answer(placement.call.route, boot_clock::now() - offered);
+            co_await this->link.await_turn(placement.call.route, ran->answer,
+                                           std::move(reservation));
+        }
         co_return std::move(answer.answer);
     }
 
@@ -603,6 +625,7 @@
     connection_pool& connections;
     target_gate& gate;
     quota_agent& quotas;
+    response_link& link;
     sidecar_metrics& metrics;
     newer_configuration_handler report_newer_configuration;
     fleet_retry_budget retry_budget;
@@ -617,10 +640,11 @@
 
 call_entry::call_entry(node_identity identity, deployment_bounds const& bounds,
                        rcu_cell<fleet_view> const& views, connection_pool& connections,
-                       target_gate& gate, quota_agent& quotas, sidecar_metrics& metrics,
+                       target_gate& gate, quota_agent& quotas, response_link& link,
+                       sidecar_metrics& metrics,
                        newer_configuration_handler report_newer_configuration)
     : self(std::make_unique<implementation>(std::move(identity), bounds, views, connections, gate,
-                                            quotas, metrics,
+                                            quotas, link, metrics,
                                             std::move(report_newer_configuration))) {}
 
 call_entry::~call_entry() = default;
--- a/libraries/sidecar/call_entry.h
+++ b/libraries/sidecar/call_entry.h
@@ -17,6 +17,7 @@
 
 class connection_pool;
 class quota_agent;
+class response_link;
 class target_gate;
 struct sidecar_metrics;
 
@@ -44,7 +45,7 @@
 
     call_entry(node_identity identity, deployment_bounds const& bounds,
                rcu_cell<fleet_view> const& views, connection_pool& connections, target_gate& gate,
-               quota_agent& quotas, sidecar_metrics& metrics,
+               quota_agent& quotas, response_link& link, sidecar_metrics& metrics,
                newer_configuration_handler report_newer_configuration);
     ~call_entry();
     call_entry(call_entry const&) = delete;
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -40,6 +40,9 @@
     , evacuation_refusals(registry.register_counter(
           "peridot_evacuation_refusals_total",
           "Requests refused because every zone with targets of the service is evacuated."))
+    , link_refusals(registry.register_counter(
+          "peridot_link_refusals_total",
+          "Requests refused because the instance's link could not deliver the response in time."))
     , quota_share_lent(registry.register_gauge(
           "peridot_quota_share_percent",
           "Share of the quotas that nodes have delegated to a pool of this node."))
@@ -56,6 +59,9 @@
     , gate_target_cold(registry.register_gauge(
           "peridot_gate_target_cold",
           "Whether the gate limits the rate of requests because the target is cold."))
+    , link_backlog(registry.register_gauge(
+          "peridot_link_backlog_milliseconds",
+          "Time that the instance's link takes for the responses that it has to transmit."))
     , target_awaited(registry.register_gauge(
           "peridot_target_awaited",
           "Whether a recorded target has not announced itself since the node's start."))
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -23,12 +23,14 @@
     counter& interrupted_responses;
     counter& gate_refusals;
     counter& evacuation_refusals;
+    counter& link_refusals;
     gauge& quota_share_lent;
     gauge& gate_in_use;
     gauge& gate_waiting;
     gauge& gate_version_blocked;
     gauge& gate_zone_evacuated;
     gauge& gate_target_cold;
+    gauge& link_backlog;
     gauge& target_awaited;
     gauge& unfit_to_steer;
     gauge& configuration_version;
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -20,6 +20,7 @@
 #include "sidecar/fleet_sync.h"
 #include "sidecar/hop_message.h"
 #include "sidecar/quota_agent.h"
+#include "sidecar/response_link.h"
 #include "sidecar/rollout_evidence.h"
 #include "sidecar/rollout_steering.h"
 #include "sidecar/sidecar_metrics.h"
@@ -91,10 +92,11 @@
         , control_connections(control_context, store_http_limits())
         , store(control_connections, initial.store)
         , evidence(views, initial.service)
-        , gate(data_context, connections, initial.target, metrics, evidence,
+        , link(data_context, initial.link_mbps, metrics)
+        , gate(data_context, connections, initial.target, link, metrics, evidence,
                [this](target_record const& observed) { this->record_state(observed); })
         , quotas(data_context, initial.instance, {initial.ip, initial.control_port}, views, metrics)
-        , entry(identity_of(initial), bounds, views, connections, gate, quotas, metrics,
+        , entry(identity_of(initial), bounds, views, connections, gate, quotas, link, metrics,
                 [this](std::string const& ip, std::uint64_t version) {
                     this->request_newer_configuration(ip, version);
                 })
@@ -464,6 +466,7 @@
     metric_registry registry;
     sidecar_metrics metrics{registry};
     rollout_evidence evidence;
+    response_link link;
     target_gate gate;
     quota_agent quotas;
     call_entry entry;
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -5,6 +5,7 @@
 #include "http/connection_pool.h"
 #include "mesh/decaying_failure_rate.h"
 #include "mesh/gate_queue.h"
+#include "mesh/link_request.h"
 #include "mesh/service_terms.h"
 #include "mesh/target_reach.h"
 #include "mesh/warm_up.h"
@@ -15,6 +16,7 @@
 #include "sidecar/body_limits.h"
 #include "sidecar/observed_request.h"
 #include "sidecar/recent_ids.h"
+#include "sidecar/response_link.h"
 #include "sidecar/rollout_evidence.h"
 #include "sidecar/sidecar_metrics.h"
 
@@ -46,11 +48,12 @@
 class target_gate::implementation {
 public:
     implementation(asio::io_context& io, connection_pool& pool, socket_address target_address,
-                   sidecar_metrics& node_metrics, rollout_evidence& request_evidence,
-                   state_function on_state)
+                   response_link& instance_link, sidecar_metrics& node_metrics,
+                   rollout_evidence& request_evidence, state_function on_state)
         : context(io)
         , connections(pool)
         , address(std::move(target_address))
+        , link(instance_link)
         , metrics(node_metrics)
         , evidence(request_evidence)
         , report_state(std::move(on_state)) {}
@@ -88,17 +91,26 @@
     };
 
     asio::awaitable<gate_answer> run(gate_call call, http_request request) {
-        auto answer = co_await this->admit(call, std::move(request));
+        std::shared_ptr<void const> reservation;
+        auto answer = co_await this->admit(call, std::move(request), reservation);
         if (auto const* refused = std::get_if<gate_refusal>(&answer)) {
             this->log_refusal(call, *refused);
         }
+        if (auto const* ran = std::get_if<gate_ran>(&answer)) {
+            co_await this->link.await_turn(call.route, ran->answer, std::move(reservation));
+        }
         co_return answer;
     }
 
-    asio::awaitable<gate_answer> admit(gate_call const& call, http_request request) {
+    asio::awaitable<gate_answer> admit(gate_call const& call, http_request request,
+                                       std::shared_ptr<void const>& reservation) {
         if (auto const refused = this->check(call)) {
             co_return *refused;
         }
+        if (auto const refused = this->check_link(call)) {
+            co_return *refused;
+        }
+        reservation = this->link.reserve(call.route, this->expected_answer_time(call.route));
         // After a restart of this node, the sender may know more about the target.
         if (!this->has_notice && call.rate_limit) {
             this->notice.rate_limit = call.rate_limit;
@@ -188,6 +200,8 @@
     gate_load load(std::string const& route) const {
         auto const now = boot_clock::now();
         auto current = this->queue.load(route, now);
+        current.expected_wait +=
+            this->link.expected_delay(route, now + current.expected_wait + current.service_time);
         current.failure_rate = this->failures.at(now);
         this->metrics.gate_in_use.set(current.in_use);
         this->metrics.gate_waiting.set(current.waiting);
@@ -261,6 +275,22 @@
         return std::nullopt;
     }
 
+    // When the target is expected to have answered a request that arrives now.
+    boot_time expected_answer_time(std::string const& route) const {
+        auto const now = boot_clock::now();
+        if (!this->link.has_large_responses(route)) {
+            return now;
+        }
+        auto const current = this->queue.load(route, now);
+        return now + current.expected_wait + current.service_time;
+    }
+
+    std::optional<gate_refusal> check_link(gate_call const& call) const {
+        return this->link.find_refusal({call.route, this->expected_answer_time(call.route),
+                                        call.soft_deadline,
+                                        std::min(call.finish_by, call.deadline)});
+    }
+
     // Checks the queue periodically: a target that stops responding frees no slot for a long time,
     // and waiting requests must not be held until their deadline.
     asio::awaitable<gate_decision> wait(std::uint64_t number) {
@@ -474,22 +504,24 @@
         auto const time_left_ms = [now = boot_clock::now()](boot_time at) {
             return std::chrono::duration_cast<milliseconds>(at - now).count();
         };
-        log::write(log::level::info, "gate_refused",
-                   {{"request", call.attempt_id},
-                    {"route", call.route},
-                    {"sender", call.sender},
-                    {"reason", std::string(name(refused.reason))},
-                    {"in_use", static_cast<std::int64_t>(current.in_use)},
-                    {"waiting", static_cast<std::int64_t>(current.waiting)},
-                    {"slots", static_cast<std::int64_t>(current.slots)},
-                    {"priority", static_cast<std::int64_t>(call.priority)},
-                    {"expected_wait_ms", current.expected_wait.count()},
-                    {"own_wait_ms", refused.expected_wait.count()},
-                    {"service_time_ms", current.service_time.count()},
-                    {"soft_deadline_ms", time_left_ms(call.soft_deadline)},
-                    {"finish_by_ms", time_left_ms(call.finish_by)},
-                    {"deadline_ms", time_left_ms(call.deadline)},
-                    {"retry_after_ms", refused.retry_after.count()}});
+        log::write(
+            log::level::info, "gate_refused",
+            {{"request", call.attempt_id},
+             {"route", call.route},
+             {"sender", call.sender},
+             {"reason", std::string(name(refused.reason))},
+             {"in_use", static_cast<std::int64_t>(current.in_use)},
+             {"waiting", static_cast<std::int64_t>(current.waiting)},
+             {"slots", static_cast<std::int64_t>(current.slots)},
+             {"priority", static_cast<std::int64_t>(call.priority)},
+             {"expected_wait_ms", current.expected_wait.count()},
+             {"own_wait_ms", refused.expected_wait.count()},
+             {"link_wait_ms", this->link.expected_delay(call.route, boot_clock::now()).count()},
+             {"service_time_ms", current.service_time.count()},
+             {"soft_deadline_ms", time_left_ms(call.soft_deadline)},
+             {"finish_by_ms", time_left_ms(call.finish_by)},
+             {"deadline_ms", time_left_ms(call.deadline)},
+             {"retry_after_ms", refused.retry_after.count()}});
     }
 
     void log_unknown_outcome(gate_call const& call, error const& reason) const {
@@ -503,6 +535,7 @@
     asio::io_context& context;
     connection_pool& connections;
     socket_address address;
+    response_link& link;
     sidecar_metrics& metrics;
     rollout_evidence& evidence;
     state_function report_state;
@@ -525,9 +558,9 @@
 };
 
 target_gate::target_gate(asio::io_context& context, connection_pool& connections,
-                         socket_address target, sidecar_metrics& metrics,
+                         socket_address target, response_link& link, sidecar_metrics& metrics,
                          rollout_evidence& evidence, state_function report_state)
-    : self(std::make_unique<implementation>(context, connections, std::move(target), metrics,
+    : self(std::make_unique<implementation>(context, connections, std::move(target), link, metrics,
                                             evidence, std::move(report_state))) {}
 
 target_gate::~target_gate() = default;
--- a/libraries/sidecar/target_gate.h
+++ b/libraries/sidecar/target_gate.h
@@ -18,6 +18,7 @@
 namespace peridot {
 
 class connection_pool;
+class response_link;
 class rollout_evidence;
 struct service_terms;
 struct sidecar_metrics;
@@ -37,8 +38,8 @@
     using state_function = std::function<void(target_record const&)>;
 
     target_gate(boost::asio::io_context& context, connection_pool& connections,
-                socket_address target, sidecar_metrics& metrics, rollout_evidence& evidence,
-                state_function report_state);
+                socket_address target, response_link& link, sidecar_metrics& metrics,
+                rollout_evidence& evidence, state_function report_state);
     ~target_gate();
     target_gate(target_gate const&) = delete;
     target_gate& operator=(target_gate const&) = delete;
--- a/tests/processes/mesh_support/sidecar_fleet.h
+++ b/tests/processes/mesh_support/sidecar_fleet.h
@@ -39,6 +39,8 @@
     /// The node accepts requests from other nodes at a separate address, so that a proxy can listen
     /// at its public one.
     bool is_behind_proxy = false;
+    /// Rate of the instance's link in Mbit/s, if the node knows it.
+    std::optional<double> link_mbps;
 };
 
 /// Sidecars with their targets and a store, on loopback addresses that no other test program uses.
