--- a/libraries/quotas/quota_account.cpp
+++ b/libraries/quotas/quota_account.cpp
@@ -97,7 +97,8 @@
     if (now >= this->self->delegated_until && until > now) {
         // The pool has a burst of its own, so what the share has saved up would be admitted twice.
         for (auto& [workspace, state] : this->self->states) {
-            state.own = quota_bucket(this->self->terms.at(workspace), this->self->own_share_seconds);
+            state.own =
+                quota_bucket(this->self->terms.at(workspace), this->self->own_share_seconds);
         }
     }
     this->self->delegated_until = std::max(this->self->delegated_until, until);
