http: accept only statuses from 200 to 599 as answers

A status such as 000 and a 101 that nobody asked for reached the caller as the target's response. The connection pool now decides in one place: interim responses are skipped, anything else that is no answer fails the exchange, closes the connection and leaves the outcome unknown.

--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "http/connection_pool.h"
 
+#include "http/answer_kind.h"
 #include "http/beast_messages.h"
 #include "http/body_source.h"
 #include "http/body_stream.h"
@@ -27,6 +28,8 @@
 constexpr auto to_tuple = asio::as_tuple(asio::use_awaitable);
 
 constexpr std::size_t max_mismatched_responses = 4;
+// A server could hold an exchange with interim responses until its deadline.
+constexpr std::size_t max_interim_responses = 32;
 // A body up to this size is received whatever other bodies take.
 constexpr std::size_t guaranteed_body_bytes = std::size_t{64} * 1024;
 
@@ -243,6 +246,7 @@
         }
         auto const expected = message.method() == http::verb::head ? detail::expected_body::none
                                                                    : detail::expected_body::any;
+        std::size_t interim = 0;
         for (std::size_t skipped = 0; skipped <= max_mismatched_responses; ++skipped) {
             auto const incoming =
                 std::make_shared<incoming_response>(checkout, self->limits, options, expected);
@@ -254,6 +258,17 @@
                                                  : result_code::request_outcome_unknown,
                                        address, read_error.message(), exchange_progress::sent);
             }
+            auto const kind = classify_status(receiver.status());
+            if (kind == answer_kind::interim && ++interim <= max_interim_responses) {
+                --skipped;
+                continue;
+            }
+            if (kind != answer_kind::final) {
+                co_return make_failure(result_code::request_answer_mismatched, address,
+                                       "received status " + std::to_string(receiver.status()) +
+                                           ", which is no answer",
+                                       exchange_progress::sent);
+            }
             if (receiver.is_unframed() && !options.accepts_close_delimited) {
                 co_return make_failure(
                     result_code::request_answer_incomplete, address,
--- a/libraries/http/response_receiver.h
+++ b/libraries/http/response_receiver.h
@@ -32,6 +32,8 @@
     /// end of the response is an error.
     boost::asio::awaitable<boost::system::error_code> receive_some();
 
+    /// Returns the status; the header must have been received.
+    unsigned status() const { return this->parser.get().result_int(); }
     bool has_begun() const { return this->parser.got_some(); }
     bool is_complete() const { return this->parser.is_done(); }
     /// Whether only the end of the connection marks the end of the body.
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -470,3 +470,48 @@
     UNSIGNED_LONGS_EQUAL(200, status_of(exchange(raw.address(), {"GET", "/", {}, {}})));
     UNSIGNED_LONGS_EQUAL(0, connections.connections(raw.address()));
 }
+
+// Guards against a status that is no answer, such as 000 or a 101 that was not asked for, being
+// returned as the response.
+TEST(http, invalid_status_is_no_response) {
+    for (auto const* method : {"GET", "POST"}) {
+        for (auto const* status : {"000", "042", "099", "101", "600", "999"}) {
+            raw_server const target(join({"HTTP/1.1 ", status, " X\r\nContent-Length: 0\r\n\r\n"}));
+            http_request request;
+            request.method = method;
+            auto const outcome = exchange(target.address(), request);
+            CHECK_TRUE_TEXT(code_of(outcome) == result_code::request_answer_mismatched, status);
+            CHECK(std::get<exchange_failure>(outcome).progress == exchange_progress::sent);
+            UNSIGNED_LONGS_EQUAL(0, connections.connections(target.address()));
+        }
+    }
+}
+
+// Guards against an interim response that is returned as the final one.
+TEST(http, interim_responses_precede_the_final_one) {
+    for (auto const* method : {"GET", "POST"}) {
+        raw_server const target("HTTP/1.1 100 Continue\r\n\r\n"
+                                "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        http_request request;
+        request.method = method;
+        auto const outcome = exchange(target.address(), request);
+        auto const* response = std::get_if<http_response>(&outcome);
+        CHECK(response != nullptr);
+        UNSIGNED_LONGS_EQUAL(200, response->status);
+        STRCMP_EQUAL("done", response->body.c_str());
+    }
+}
+
+// Guards against a server that holds an exchange forever with interim responses, and against an
+// interim response that is taken for the final one because nothing follows it.
+TEST(http, interim_responses_without_a_final_one_are_no_response) {
+    raw_server const silent("HTTP/1.1 100 Continue\r\n\r\n");
+    CHECK(code_of(exchange(silent.address(), {})) == result_code::request_outcome_unknown);
+    std::string many;
+    for (int count = 0; count < 100; ++count) {
+        many += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    raw_server const endless(many);
+    CHECK(code_of(exchange(endless.address(), {})) == result_code::request_answer_mismatched);
+}
--- a/tests/processes/mesh_support/mesh_target.cpp
+++ b/tests/processes/mesh_support/mesh_target.cpp
@@ -13,6 +13,7 @@
 #include <boost/json.hpp>
 
 #include <atomic>
+#include <climits>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -28,6 +29,7 @@
 
 constexpr milliseconds heartbeat_period{200};
 constexpr unsigned slots = 8;
+constexpr unsigned no_fixed_status = UINT_MAX;
 constexpr std::size_t part_bytes = std::size_t{64} * 1024;
 
 } // namespace
@@ -86,6 +88,10 @@
         }
         answer.headers.set("X-Server-Seal", "seal-of-" + this->id);
         answer.status = this->is_failing ? 500 : 200;
+        if (this->fixed_status != no_fixed_status) {
+            answer.status = this->fixed_status;
+            co_return answer;
+        }
         if (this->large_body_parts > 0) {
             answer.rest = this->make_large_body();
         } else {
@@ -148,6 +154,7 @@
     std::thread thread;
     std::atomic<milliseconds> work_time{milliseconds(1)};
     std::atomic<bool> is_failing{false};
+    std::atomic<unsigned> fixed_status{no_fixed_status};
     std::atomic<int> lost_answers{0};
     std::atomic<std::size_t> large_body_parts{0};
     std::atomic<std::size_t> cut_after_parts{SIZE_MAX};
@@ -193,6 +200,10 @@
     this->self->is_failing = is_failing;
 }
 
+void mesh_target::set_status(unsigned status) {
+    this->self->fixed_status = status;
+}
+
 void mesh_target::set_rate_limit(double requests_per_second) {
     this->self->rate_limit = requests_per_second;
 }
--- a/tests/processes/mesh_support/mesh_target.h
+++ b/tests/processes/mesh_support/mesh_target.h
@@ -29,6 +29,8 @@
     void lose_answers(int count);
     /// Answers every request with 500.
     void set_failing(bool is_failing);
+    /// Answers every request with this status and without a body; zero is sent as 000.
+    void set_status(unsigned status);
     /// States in every response how many requests per second the target accepts; zero or more.
     void set_rate_limit(double requests_per_second);
     /// States in every response that the target drains.
