--- a/tests/processes/mesh_support/mesh_target.cpp
+++ b/tests/processes/mesh_support/mesh_target.cpp
@@ -31,6 +31,14 @@
 constexpr unsigned slots = 8;
 constexpr unsigned no_fixed_status = UINT_MAX;
 constexpr std::size_t part_bytes = std::size_t{64} * 1024;
+// As large as the largest body that a node passes on by default.
+constexpr std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
+
+http_limits server_limits() {
+    http_limits limits;
+    limits.body_bytes = max_body_bytes;
+    return limits;
+}
 
 } // namespace
 
@@ -44,8 +52,9 @@
         , service(std::move(own_service))
         , version(std::move(own_version))
         , connections(context)
-        , server(context,
-                 [this](http_request request) { return this->respond(std::move(request)); }) {
+        , server(
+              context, [this](http_request request) { return this->respond(std::move(request)); },
+              server_limits()) {
         this->server.listen(address);
         asio::co_spawn(this->context, this->announce(), asio::detached);
         this->thread = std::thread([this] { this->context.run(); });
--- a/tests/processes/mesh_support/sidecar_fleet.cpp
+++ b/tests/processes/mesh_support/sidecar_fleet.cpp
@@ -89,19 +89,24 @@
     };
     auto const peers =
         options.is_behind_proxy ? proxied_peers_address(*instance) : peers_address(*instance);
-    json::object const settings{
-        {"instance", instance->name},
-        {"ip", instance->ip},
-        {"availability_zone", options.availability_zone},
-        {"service", service},
-        {"target", address(target_port)},
-        {"calls", address(calls_port)},
-        {"peers", to_string(peers)},
-        {"ready", address(ready_port)},
-        {"heartbeats", address(heartbeats_port)},
-        {"control_port", control_port},
-        {"seeds", this->control_addresses()},
-        {"store", to_string(options.store.value_or(this->platform->address()))}};
+    json::object settings{{"instance", instance->name},
+                          {"ip", instance->ip},
+                          {"availability_zone", options.availability_zone},
+                          {"service", service},
+                          {"target", address(target_port)},
+                          {"calls", address(calls_port)},
+                          {"peers", to_string(peers)},
+                          {"ready", address(ready_port)},
+                          {"heartbeats", address(heartbeats_port)},
+                          {"control_port", control_port},
+                          {"seeds", this->control_addresses()},
+                          {"store", to_string(options.store.value_or(this->platform->address()))}};
+    if (options.memory_mb) {
+        settings["memory_mb"] = *options.memory_mb;
+    }
+    if (options.max_descriptors) {
+        settings["max_descriptors"] = *options.max_descriptors;
+    }
     instance->settings_file = this->directory / (instance->name + ".json");
     std::ofstream(instance->settings_file) << json::serialize(settings);
     this->start(*instance);
--- a/tests/processes/mesh_support/sidecar_fleet.h
+++ b/tests/processes/mesh_support/sidecar_fleet.h
@@ -39,6 +39,9 @@
     /// The node accepts requests from other nodes at a separate address, so that a proxy can listen
     /// at its public one.
     bool is_behind_proxy = false;
+    /// Memory and descriptors of the instance; no value for no limit.
+    std::optional<double> memory_mb;
+    std::optional<unsigned> max_descriptors;
 };
 
 /// Sidecars with their targets and a store, on loopback addresses that no other test program uses.
--- a/tests/processes/support/child_process.cpp
+++ b/tests/processes/support/child_process.cpp
@@ -144,6 +144,17 @@
     return 0;
 }
 
+std::size_t child_process::open_descriptors() const {
+    std::error_code failed;
+    auto const directory = std::filesystem::path("/proc") / std::to_string(this->id) / "fd";
+    std::size_t count = 0;
+    for (std::filesystem::directory_iterator entry(directory, failed), end; !failed && entry != end;
+         entry.increment(failed)) {
+        ++count;
+    }
+    return count;
+}
+
 std::string child_process::log() const {
     return read_file(this->log_file);
 }
--- a/tests/processes/support/child_process.h
+++ b/tests/processes/support/child_process.h
@@ -35,6 +35,8 @@
     std::string output() const;
     /// Largest resident memory of the running process in bytes; 0 if it has ended.
     std::size_t peak_memory_bytes() const;
+    /// Number of open file descriptors of the running process; 0 if it has ended.
+    std::size_t open_descriptors() const;
     std::string log() const;
 
 private:
