http: bound the memory and the connections of clients

Ten clients that each stopped one byte short of a 60 MiB body took 609 MB. Bodies now draw from a byte_budget of half of memory_mb; at the bound, stalled bodies are evicted and others are refused with 503. The offers of a request share its body, and connections are bounded by max_descriptors.

--- a/libraries/http/connection_pool.cpp
+++ b/libraries/http/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include "http/beast_messages.h"
 #include "http/body_source.h"
 #include "http/body_stream.h"
+#include "http/byte_draw.h"
 #include "http/client_connection.h"
 #include "http/connection_table.h"
 #include "http/http_version.h"
@@ -12,7 +13,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -38,14 +39,17 @@
     return {error{code, to_string(address) + ": " + reason}, progress};
 }
 
-http::request<http::string_body> to_message(socket_address const& address, http_request&& request) {
-    http::request<http::string_body> message;
+// The message refers to the body of the request.
+http::request<http::span_body<char const>> to_message(socket_address const& address,
+                                                      http_request const& request) {
+    http::request<http::span_body<char const>> message;
     message.version(detail::http_version_1_1);
     message.method_string(request.method);
     message.target(request.target);
     message.set(http::field::host, request.host.empty() ? to_string(address) : request.host);
     detail::to_beast(request.headers, message);
-    message.body() = std::move(request.body);
+    auto const& body = request.shared_body ? *request.shared_body : request.body;
+    message.body() = {body.data(), body.size()};
     message.prepare_payload();
     return message;
 }
@@ -54,8 +58,9 @@
 
 class connection_pool::implementation {
 public:
-    implementation(asio::io_context& io, http_limits bounds, std::size_t per_address)
-        : limits(bounds), table(io, per_address) {}
+    implementation(asio::io_context& io, http_limits bounds, std::size_t per_address,
+                   byte_budget account)
+        : limits(bounds), table(io, per_address), budget(std::move(account)) {}
 
     // Owns a connection for the duration of an exchange and closes it on destruction unless it was
     // returned to the pool.
@@ -132,14 +137,17 @@
     // body is counted while it grows, so that it cannot exceed the limits.
     static asio::awaitable<boost::system::error_code> receive(implementation& self,
                                                               detail::response_receiver& receiver,
-                                                              exchange_options const& options) {
+                                                              exchange_options const& options,
+                                                              byte_draw& draw) {
         received_body body(self);
         while (!receiver.is_complete()) {
             auto const failed = co_await receiver.receive_some();
             if (failed) {
                 co_return failed;
             }
-            bool const has_room = body.grow_to(receiver.body_size());
+            bool const has_budget =
+                draw.grow_to(receiver.body_size(), std::chrono::steady_clock::now());
+            bool const has_room = body.grow_to(receiver.body_size()) && has_budget;
             if (!options.whole_body_bytes) {
                 if (!has_room) {
                     co_return http::make_error_code(http::error::body_limit);
@@ -235,7 +243,7 @@
         if (auto unopened = co_await open(checkout, deadline, options)) {
             co_return std::move(*unopened);
         }
-        auto message = to_message(address, std::move(request));
+        auto message = to_message(address, request);
         auto& stream = checkout->current->stream;
         stream.expires_at(deadline);
         auto const [write_error, written] = co_await http::async_write(stream, message, to_tuple);
@@ -251,7 +259,8 @@
             auto const incoming =
                 std::make_shared<incoming_response>(checkout, self->limits, options, expected);
             auto& receiver = incoming->receiver;
-            auto const read_error = co_await receive(*self, receiver, options);
+            auto const draw = std::make_shared<byte_draw>(self->budget, "");
+            auto const read_error = co_await receive(*self, receiver, options, *draw);
             if (read_error) {
                 bool const has_begun = receiver.has_begun();
                 co_return make_failure(has_begun ? result_code::request_answer_incomplete
@@ -283,6 +292,7 @@
                 continue;
             }
             response.body = receiver.take_body();
+            response.body_draw = draw;
             if (receiver.is_complete()) {
                 incoming->release_connection();
             } else {
@@ -299,11 +309,13 @@
     http_limits limits;
     detail::connection_table table;
     std::size_t received_bytes = 0;
+    byte_budget budget;
 };
 
 connection_pool::connection_pool(asio::io_context& context, http_limits limits,
-                                 std::size_t connections_per_address)
-    : self(std::make_shared<implementation>(context, limits, connections_per_address)) {}
+                                 std::size_t connections_per_address, byte_budget budget)
+    : self(std::make_shared<implementation>(context, limits, connections_per_address,
+                                            std::move(budget))) {}
 
 connection_pool::~connection_pool() = default;
 
--- a/libraries/http/connection_pool.h
+++ b/libraries/http/connection_pool.h
@@ -2,6 +2,7 @@
 
 #include "core/socket_address.h"
 #include "core/time.h"
+#include "http/byte_budget.h"
 #include "http/connection_reuse.h"
 #include "http/exchange_failure.h"
 #include "http/exchange_options.h"
@@ -27,8 +28,11 @@
 public:
     using exchange_result = std::variant<http_response, exchange_failure>;
 
+    /// The bodies of responses draw from the budget. At its bound, those that may be returned as a
+    /// stream are.
     explicit connection_pool(boost::asio::io_context& context, http_limits limits = {},
-                             std::size_t connections_per_address = 120);
+                             std::size_t connections_per_address = 120,
+                             byte_budget budget = byte_budget());
     ~connection_pool();
     connection_pool(connection_pool const&) = delete;
     connection_pool& operator=(connection_pool const&) = delete;
--- a/libraries/http/http_limits.h
+++ b/libraries/http/http_limits.h
@@ -14,6 +14,9 @@
     /// write bodies without end could otherwise exhaust the memory together.
     std::size_t received_bytes = std::size_t{32} * 1024 * 1024;
     std::size_t connections = 4096;
+    /// Whether a server at its limit of connections closes the one that has been idle the longest
+    /// for a new one, instead of closing the new one.
+    bool replaces_idle_connections = false;
     /// Maximum number of pipelined requests processed concurrently per connection.
     std::size_t pipelined_requests = 16;
     /// Timeout for receiving the header of a request, from its first byte.
--- a/libraries/http/http_request.h
+++ b/libraries/http/http_request.h
@@ -2,6 +2,7 @@
 
 #include "http/header_list.h"
 
+#include <memory>
 #include <string>
 
 namespace peridot {
@@ -15,6 +16,8 @@
     std::string body;
     /// Value of the Host field; if empty, the address that the request is sent to is used.
     std::string host;
+    /// Sent in place of the body if it is set. Copies of the request share it.
+    std::shared_ptr<std::string const> shared_body;
 };
 
 } // namespace peridot
--- a/libraries/http/http_response.h
+++ b/libraries/http/http_response.h
@@ -20,6 +20,8 @@
     bool closes_connection = false;
     /// Released by the server when the response has been written or discarded.
     std::shared_ptr<void const> completion_guard;
+    /// Accounts for the memory of the body for as long as the response exists.
+    std::shared_ptr<void const> body_draw;
 };
 
 } // namespace peridot
--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "http/beast_messages.h"
+#include "http/byte_draw.h"
 #include "http/response_writer.h"
 #include "http/server_connection.h"
 #include "http/server_connections.h"
@@ -40,6 +41,24 @@
 constexpr std::size_t buffer_margin = std::size_t{128} * 1024;
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+// A body without a stated length grows by doubling up to the first size. From then on its final
+// memory is reserved, of which only the pages in use are resident, so that it is not copied while
+// it grows.
+constexpr std::size_t doubling_body_bytes = std::size_t{1024} * 1024;
+constexpr std::size_t reserved_body_bytes = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t discard_bytes = std::size_t{16} * 1024;
+
+// The request has not been passed on. Stalled bodies are evicted after a second, so there is room
+// then if they are what fills the memory.
+http_response make_memory_refusal() {
+    auto const code = static_cast<unsigned>(result_code::request_overloaded);
+    return {503,
+            {{"Retry-After", "1.000"},
+             {"Peridot-Outcome", "not_run"},
+             {"Peridot-Code", std::to_string(code)}},
+            ""};
+}
+
 http_response make_error_response(boost::system::error_code reason) {
     bool const is_header_too_large =
         reason == http::error::header_limit || reason == http::error::buffer_overflow;
@@ -63,8 +82,12 @@
 
 class http_server::implementation : public std::enable_shared_from_this<implementation> {
 public:
-    implementation(asio::io_context& io, handler callback, http_limits bounds)
-        : context(io), acceptor(io), respond(std::move(callback)), limits(bounds) {}
+    implementation(asio::io_context& io, handler callback, http_limits bounds, byte_budget account)
+        : context(io)
+        , acceptor(io)
+        , respond(std::move(callback))
+        , limits(bounds)
+        , budget(std::move(account)) {}
 
     result<socket_address> listen(socket_address const& address) {
         boost::system::error_code failed;
@@ -135,7 +158,8 @@
                 co_await pause.async_wait(to_tuple);
                 continue;
             }
-            if (self->connections->open.size() >= self->limits.connections) {
+            if (self->connections->open.size() >= self->limits.connections &&
+                !self->close_longest_idle()) {
                 continue;
             }
             socket.set_option(tcp::no_delay(true), failed);
@@ -146,6 +170,24 @@
         }
     }
 
+    // Closes the connection that has been idle for the longest time; returns whether there is one.
+    bool close_longest_idle() const {
+        if (!this->limits.replaces_idle_connections) {
+            return false;
+        }
+        detail::server_connection* found = nullptr;
+        for (auto* candidate : this->connections->open) {
+            if (candidate->is_idle() && !candidate->is_closed &&
+                (found == nullptr || candidate->last_used < found->last_used)) {
+                found = candidate;
+            }
+        }
+        if (found != nullptr) {
+            found->close();
+        }
+        return found != nullptr;
+    }
+
     // Closes connections that exceed the idle timeout.
     static asio::awaitable<void> sweep_loop(std::shared_ptr<implementation> self) {
         asio::steady_timer timer(self->context);
@@ -205,15 +247,18 @@
         http::request_parser<http::string_body> parser;
         parser.body_limit(this->limits.body_bytes);
         parser.header_limit(this->limits.header_bytes);
+        auto const draw = this->make_draw(client);
         client->is_receiving = true;
-        auto const read_error = co_await this->receive(*client, parser);
+        auto const read_error = co_await this->receive(*client, parser, *draw);
         client->is_receiving = false;
-        if (read_error) {
-            if (!is_protocol_error(read_error)) {
+        draw->keep();
+        if (read_error || client->is_refused) {
+            if (!client->is_refused && !is_protocol_error(read_error)) {
                 co_return false;
             }
             auto const rejected = std::make_shared<detail::pending_exchange>();
-            rejected->response = make_error_response(read_error);
+            rejected->response =
+                client->is_refused ? make_memory_refusal() : make_error_response(read_error);
             rejected->keeps_alive = false;
             rejected->is_done = true;
             client->push(rejected);
@@ -225,32 +270,70 @@
         if (client->is_closed || client->has_stopped_reading || client->has_disconnected()) {
             co_return false;
         }
-        this->start_handler(client, parser.release());
+        this->start_handler(client, parser.release(), draw);
         co_return true;
     }
 
+    // The draw of a body that is being received. It ends before the connection does.
+    std::shared_ptr<byte_draw> make_draw(connection_pointer const& client) const {
+        auto* const connection = client.get();
+        return std::make_shared<byte_draw>(this->budget, client->address, [connection] {
+            connection->is_refused = true;
+            connection->stream.cancel();
+        });
+    }
+
+    // Sets is_refused if the budget has no room for the body.
     asio::awaitable<boost::system::error_code>
-    receive(detail::server_connection& client, http::request_parser<http::string_body>& parser) {
+    receive(detail::server_connection& client, http::request_parser<http::string_body>& parser,
+            byte_draw& draw) {
         client.stream.expires_after(this->limits.header_timeout);
         auto const [header_error, header_size] =
             co_await http::async_read_header(client.stream, client.buffer, parser, to_tuple);
         if (header_error || parser.is_done()) {
             co_return header_error;
         }
-        client.stream.expires_after(this->limits.request_timeout);
-        auto const [body_error, body_size] =
-            co_await http::async_read(client.stream, client.buffer, parser, to_tuple);
-        co_return body_error;
+        auto now = std::chrono::steady_clock::now();
+        auto const end = now + this->limits.request_timeout;
+        while (!parser.is_done() && !client.is_refused) {
+            // Without a bound on memory, a body may pause for as long as its client likes.
+            client.stream.expires_at(
+                this->budget.is_bounded() ? std::min(end, now + this->limits.idle_timeout) : end);
+            auto const [body_error, body_size] =
+                co_await http::async_read_some(client.stream, client.buffer, parser, to_tuple);
+            if (body_error) {
+                co_return body_error;
+            }
+            now = std::chrono::steady_clock::now();
+            auto& body = parser.get().body();
+            if (!client.is_refused && !draw.grow_to(body.size(), now)) {
+                client.is_refused = true;
+                this->budget.report_refusal(client.address);
+            }
+            if (body.size() >= doubling_body_bytes && !parser.content_length()) {
+                body.reserve(std::min(this->limits.body_bytes, reserved_body_bytes));
+            }
+        }
+        if (client.is_refused) {
+            // The memory is given back before the response is written.
+            std::string().swap(parser.get().body());
+        }
+        co_return boost::system::error_code{};
     }
 
-    void start_handler(connection_pointer const& client, http::request<http::string_body> message) {
+    void start_handler(connection_pointer const& client, http::request<http::string_body> message,
+                       std::shared_ptr<byte_draw> draw) {
         auto const exchange = std::make_shared<detail::pending_exchange>();
+        exchange->body_draw = std::move(draw);
         exchange->keeps_alive = message.keep_alive();
         exchange->version = message.version();
         exchange->is_head = message.method() == http::verb::head;
-        http_request request{std::string(message.method_string()), std::string(message.target()),
-                             detail::from_beast(message), std::move(message.body()),
-                             std::string(message[http::field::host])};
+        http_request request{std::string(message.method_string()),
+                             std::string(message.target()),
+                             detail::from_beast(message),
+                             std::move(message.body()),
+                             std::string(message[http::field::host]),
+                             nullptr};
         client->push(exchange);
         // The coroutine clears its cancellation slot in a last step of its own, after run_handler
         // has returned. The completion handler runs after that step and keeps the slot's owner.
@@ -328,23 +411,42 @@
         client->has_stopped_reading = true;
         boost::system::error_code ignored;
         client->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        asio::steady_timer linger(self->context, linger_time);
-        co_await linger.async_wait(to_tuple);
+        if (client->is_refused) {
+            // A client that still sends its body reads the response only afterwards.
+            co_await discard_input(*client);
+        } else {
+            asio::steady_timer linger(self->context, linger_time);
+            co_await linger.async_wait(to_tuple);
+        }
         client->close();
     }
 
+    static asio::awaitable<void> discard_input(detail::server_connection& client) {
+        client.buffer = {};
+        std::vector<char> ignored(discard_bytes);
+        client.stream.expires_after(linger_time);
+        for (bool is_open = true; is_open;) {
+            auto const [failed, size] =
+                co_await client.stream.async_read_some(asio::buffer(ignored), to_tuple);
+            is_open = !failed;
+        }
+    }
+
     asio::io_context& context;
     tcp::acceptor acceptor;
     handler respond;
     http_limits limits;
+    byte_budget budget;
     /// Shared with the connections, which may outlive this object.
     std::shared_ptr<detail::server_connections> connections =
         std::make_shared<detail::server_connections>();
     bool is_stopping = false;
 };
 
-http_server::http_server(asio::io_context& context, handler respond, http_limits limits)
-    : self(std::make_shared<implementation>(context, std::move(respond), limits)) {}
+http_server::http_server(asio::io_context& context, handler respond, http_limits limits,
+                         byte_budget budget)
+    : self(std::make_shared<implementation>(context, std::move(respond), limits,
+                                            std::move(budget))) {}
 
 http_server::~http_server() {
     this->self->stop_accepting();
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -2,6 +2,7 @@
 
 #include "core/result.h"
 #include "core/socket_address.h"
+#include "http/byte_budget.h"
 #include "http/http_limits.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
@@ -23,7 +24,10 @@
 public:
     using handler = std::function<boost::asio::awaitable<http_response>(http_request)>;
 
-    http_server(boost::asio::io_context& context, handler respond, http_limits limits = {});
+    /// The bodies of requests draw from the budget. At its bound, a body that is being received is
+    /// refused with 503, and its connection is closed.
+    http_server(boost::asio::io_context& context, handler respond, http_limits limits = {},
+                byte_budget budget = byte_budget());
     ~http_server();
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
--- a/libraries/http/pending_exchange.h
+++ b/libraries/http/pending_exchange.h
@@ -9,6 +9,10 @@
 #include <memory>
 #include <optional>
 
+namespace peridot {
+class byte_draw;
+}
+
 namespace peridot::detail {
 
 /// A request of a connection and its position in the response order.
@@ -19,6 +23,8 @@
     bool is_head = false;
     unsigned version = http_version_1_1;
     boost::asio::cancellation_signal cancel;
+    /// Accounts for the memory of the request's body; null if it has none.
+    std::shared_ptr<byte_draw> body_draw;
 };
 
 /// Cancels the handler of a request on the executor that runs it. Outside of that executor's thread
--- a/libraries/http/response_writer.cpp
+++ b/libraries/http/response_writer.cpp
@@ -38,10 +38,10 @@
     return message;
 }
 
-asio::awaitable<bool> write_whole(beast::tcp_stream& stream, http_response const& response,
+asio::awaitable<bool> write_whole(beast::tcp_stream& stream, http_response& response,
                                   response_format format) {
     auto message = make_head<http::string_body>(response, format);
-    message.body() = response.body;
+    message.body() = std::move(response.body);
     message.prepare_payload();
     if (format.is_head) {
         message.body().clear();
--- a/libraries/http/server_connection.cpp
+++ b/libraries/http/server_connection.cpp
@@ -21,6 +21,8 @@
     , state_changed(this->stream.get_executor(), steady_time::max())
     , all(std::move(all)) {
     this->all->open.insert(this);
+    boost::system::error_code failed;
+    this->address = this->stream.socket().remote_endpoint(failed).address().to_string();
 }
 
 server_connection::~server_connection() {
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <memory>
+#include <string>
 
 namespace peridot::detail {
 
@@ -46,6 +47,10 @@
     bool is_receiving = false;
     bool has_stopped_reading = false;
     bool is_closed = false;
+    /// Whether a request was refused while its body was being received.
+    bool is_refused = false;
+    /// Address of the client.
+    std::string address;
 
 private:
     void cancel_body();
--- a/libraries/sidecar/call_entry.cpp
+++ b/libraries/sidecar/call_entry.cpp
@@ -118,6 +118,11 @@
         placement.configuration = view->configuration;
         placement.route = route;
         placement.service = this->share_choices.choose_service(*route);
+        // Each offer shares the body instead of copying it.
+        if (!request.body.empty()) {
+            request.shared_body = std::make_shared<std::string const>(std::move(request.body));
+            request.body.clear();
+        }
         placement.request = std::move(request);
         placement.arrived = arrived;
         placement.retry_after = no_target_retry_after;
--- a/libraries/sidecar/hop_message.cpp
+++ b/libraries/sidecar/hop_message.cpp
@@ -275,6 +275,12 @@
     auto const header = std::string(answer.headers.value(state_header));
     auto const parts = split(header);
     auto const kind = read_outcome(parts);
+    if (header.empty() && answer.headers.value("Peridot-Outcome") == "not_run") {
+        // The other node's server has refused the request before its gate decided on it.
+        auto const code = answer.status == status_refused ? result_code::request_overloaded
+                                                          : result_code::request_malformed;
+        return {gate_refusal{code, {}}, std::nullopt};
+    }
     if (!kind) {
         return {gate_unknown{{result_code::request_answer_mismatched,
                               "the response of another node has no readable outcome"}},
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -40,9 +40,14 @@
     , evacuation_refusals(registry.register_counter(
           "peridot_evacuation_refusals_total",
           "Requests refused because every zone with targets of the service is evacuated."))
+    , memory_refusals(registry.register_counter(
+          "peridot_memory_refusals_total",
+          "Requests refused while their body was received, at the bound on memory."))
     , quota_share_lent(registry.register_gauge(
           "peridot_quota_share_percent",
           "Share of the quotas that nodes have delegated to a pool of this node."))
+    , body_bytes_held(registry.register_gauge(
+          "peridot_body_bytes_held", "Bytes of bodies that the bound on memory accounts for."))
     , gate_in_use(registry.register_gauge("peridot_gate_slots_in_use",
                                           "Requests that the target is at work on."))
     , gate_waiting(registry.register_gauge("peridot_gate_waiting_requests",
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -23,7 +23,9 @@
     counter& interrupted_responses;
     counter& gate_refusals;
     counter& evacuation_refusals;
+    counter& memory_refusals;
     gauge& quota_share_lent;
+    gauge& body_bytes_held;
     gauge& gate_in_use;
     gauge& gate_waiting;
     gauge& gate_version_blocked;
--- a/libraries/sidecar/sidecar_node.cpp
+++ b/libraries/sidecar/sidecar_node.cpp
@@ -3,12 +3,14 @@
 #include "core/event_loop.h"
 #include "core/log.h"
 #include "core/rcu_cell.h"
+#include "http/byte_budget.h"
 #include "http/connection_pool.h"
 #include "http/http_server.h"
 #include "mesh/caller_limits.h"
 #include "mesh/configuration_query_pacer.h"
 #include "mesh/mesh_configuration.h"
 #include "mesh/service_terms.h"
+#include "observability/counter.h"
 #include "observability/gauge.h"
 #include "observability/metric_registry.h"
 #include "platform/bounds.h"
@@ -35,8 +37,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <malloc.h>
+#include <optional>
 #include <thread>
 
 namespace peridot {
@@ -57,11 +62,30 @@
 constexpr milliseconds target_wait_time{2500};
 constexpr std::size_t store_answer_bytes = std::size_t{8} * 1024 * 1024;
 constexpr unsigned status_unavailable = 503;
+// Half of the descriptors are for callers and a quarter for other nodes. The last quarter is left
+// for connections to targets, to other nodes and to the store.
+constexpr unsigned caller_descriptors_divisor = 2;
+constexpr unsigned peer_descriptors_divisor = 4;
+// Half of the memory is for bodies. Of 160 MB, a single body of 64 MiB fits into it. The rest is
+// for the program, heads, and buffers of connections and sockets.
+constexpr double body_memory_share = 0.5;
+constexpr double bytes_per_mb = 1e6;
+constexpr int mapped_block_bytes = 128 * 1024;
+// Connections to one other node or to the target.
+constexpr std::size_t connections_per_address = 120;
 constexpr std::string_view metrics_path = "/metrics";
 
-// Converts the caller limits of the operator's configuration to server limits.
-http_limits to_http_limits(caller_limits const& requested) {
+// Converts the caller limits of the operator's configuration to server limits. Without a limit on
+// descriptors, the server's own limit on connections applies.
+http_limits to_http_limits(caller_limits const& requested,
+                           std::optional<std::uint32_t> max_descriptors = std::nullopt,
+                           unsigned descriptors_divisor = 1) {
     http_limits limits;
+    if (max_descriptors) {
+        limits.connections =
+            std::min<std::size_t>(limits.connections, *max_descriptors / descriptors_divisor);
+        limits.replaces_idle_connections = true;
+    }
     limits.body_bytes = requested.body_bytes;
     limits.header_bytes = static_cast<std::uint32_t>(requested.header_bytes);
     limits.header_timeout = requested.header_timeout;
@@ -69,6 +93,13 @@
     return limits;
 }
 
+std::optional<std::size_t> body_memory(std::optional<double> memory_mb) {
+    if (!memory_mb) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(*memory_mb * bytes_per_mb * body_memory_share);
+}
+
 http_limits store_http_limits() {
     http_limits limits;
     limits.body_bytes = store_answer_bytes;
@@ -87,7 +118,8 @@
     explicit implementation(sidecar_settings const& initial)
         : settings(initial)
         , bounds(read_bounds(initial.bounds))
-        , connections(data_context, to_http_limits({}))
+        , budget(body_memory(initial.memory_mb))
+        , connections(data_context, to_http_limits({}), connections_per_address, budget)
         , control_connections(control_context, store_http_limits())
         , store(control_connections, initial.store)
         , evidence(views, initial.service)
@@ -115,11 +147,11 @@
         , caller_server(
               data_context,
               [this](http_request request) { return this->respond_to_caller(std::move(request)); },
-              to_http_limits({}))
+              to_http_limits({}, initial.max_descriptors, caller_descriptors_divisor), budget)
         , peer_server(
               data_context,
               [this](http_request request) { return this->respond_to_peer(std::move(request)); },
-              to_http_limits({}))
+              to_http_limits({}, initial.max_descriptors, peer_descriptors_divisor), budget)
         , readiness_server(
               data_context,
               [this](http_request request) { return this->respond_ready(std::move(request)); })
@@ -129,7 +161,15 @@
                            })
         , control_server(control_context, [this](http_request request) {
             return this->respond_to_control(std::move(request));
-        }) {}
+        }) {
+        if (initial.memory_mb) {
+            // A freed body returns its memory to the system at once. By default, the allocator
+            // raises this threshold when a large block is freed, and keeps later blocks.
+            ::mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
+        }
+        this->budget.set_refusal_handler(
+            [this](std::string const& address) { this->count_memory_refusal(address); });
+    }
 
     status bind() {
         struct binding {
@@ -279,12 +319,23 @@
         if (request.target == metrics_path) {
             http_response answer;
             answer.headers.set("Content-Type", "text/plain; version=0.0.4");
+            this->metrics.body_bytes_held.set(static_cast<std::int64_t>(this->budget.used()));
             answer.body = this->registry.exposition();
             co_return answer;
         }
         co_return co_await this->fleet.answer_rows(std::move(request));
     }
 
+    // Runs on the data thread. Only the first refusal is logged; the counter shows all of them.
+    void count_memory_refusal(std::string const& address) {
+        if (this->metrics.memory_refusals.value() == 0) {
+            log::write(log::level::warning, "memory_bound_reached",
+                       {{"client", address},
+                        {"held_bytes", static_cast<std::int64_t>(this->budget.used())}});
+        }
+        this->metrics.memory_refusals.add();
+    }
+
     // Runs on the data thread; the announcements belong to the control thread.
     void record_state(target_record const& observed) {
         asio::post(this->control_context,
@@ -360,7 +411,8 @@
                     {"header_timeout_ms", requested.header_timeout.count()},
                     {"idle_timeout_ms", requested.idle_timeout.count()}});
         asio::post(this->data_context, [this, requested] {
-            this->caller_server.set_limits(to_http_limits(requested));
+            this->caller_server.set_limits(to_http_limits(requested, this->settings.max_descriptors,
+                                                          caller_descriptors_divisor));
         });
     }
 
@@ -458,6 +510,7 @@
     event_loop data_context{1};
     event_loop control_context{1};
     rcu_cell<fleet_view> views;
+    byte_budget budget;
     connection_pool connections;
     connection_pool control_connections;
     store_client store;
