--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -24,7 +24,9 @@
     counter& gate_refusals;
     counter& evacuation_refusals;
     counter& link_refusals;
+    counter& memory_refusals;
     gauge& quota_share_lent;
+    gauge& body_bytes_held;
     gauge& gate_in_use;
     gauge& gate_waiting;
     gauge& gate_version_blocked;
--- a/tests/processes/mesh_support/sidecar_fleet.cpp
+++ b/tests/processes/mesh_support/sidecar_fleet.cpp
@@ -104,6 +104,12 @@
     if (options.link_mbps) {
         settings["link_mbps"] = *options.link_mbps;
     }
+    if (options.memory_mb) {
+        settings["memory_mb"] = *options.memory_mb;
+    }
+    if (options.max_descriptors) {
+        settings["max_descriptors"] = *options.max_descriptors;
+    }
     instance->settings_file = this->directory / (instance->name + ".json");
     std::ofstream(instance->settings_file) << json::serialize(settings);
     this->start(*instance);
--- a/tests/processes/mesh_support/sidecar_fleet.h
+++ b/tests/processes/mesh_support/sidecar_fleet.h
@@ -41,6 +41,9 @@
     bool is_behind_proxy = false;
     /// Rate of the instance's link in Mbit/s, if the node knows it.
     std::optional<double> link_mbps;
+    /// Memory and descriptors of the instance; no value for no limit.
+    std::optional<double> memory_mb;
+    std::optional<unsigned> max_descriptors;
 };
 
 /// Sidecars with their targets and a store, on loopback addresses that no other test program uses.
