--- a/tests/processes/mesh_support/mesh_target.cpp
+++ b/tests/processes/mesh_support/mesh_target.cpp
@@ -35,12 +35,13 @@
 class mesh_target::implementation {
 public:
     implementation(socket_address const& address, socket_address const& node, std::string own_id,
-                   std::string own_service, std::string own_version)
+                   std::string own_service, std::string own_version, seconds cold)
         : own(address)
         , heartbeats(node)
         , id(std::move(own_id))
         , service(std::move(own_service))
         , version(std::move(own_version))
+        , cold_remaining(cold)
         , connections(context)
         , server(context,
                  [this](http_request request) { return this->respond(std::move(request)); }) {
@@ -76,6 +77,8 @@
         {
             std::lock_guard const guard(this->lock);
             ++this->runs[attempt];
+            this->arrivals.push_back(std::chrono::steady_clock::now());
+            this->last_headers = request.headers;
             this->last_caller = request.headers.value("X-Caller-Service");
         }
         asio::steady_timer work(this->context, this->work_time.load());
@@ -127,7 +130,9 @@
                             {"Version", this->version},
                             {"Zone", "ariana"},
                             {"Slots", slots}};
-            body["Status"] = {{"State", "ready"}, {"Seq", sequence}, {"ColdRemainingS", 0}};
+            body["Status"] = {{"State", "ready"},
+                              {"Seq", sequence},
+                              {"ColdRemainingS", this->cold_remaining.load().count()}};
             body["born"] = 1'700'000'000'000;
             heartbeat.body = json::serialize(body);
             auto const limit = std::chrono::steady_clock::now() + seconds(1);
@@ -142,6 +147,7 @@
     std::string id;
     std::string service;
     std::string version;
+    std::atomic<seconds> cold_remaining;
     asio::io_context context{1};
     connection_pool connections;
     http_server server;
@@ -158,13 +164,15 @@
     std::atomic<bool> has_stopped_heartbeats{false};
     mutable std::mutex lock;
     std::map<std::string, std::size_t> runs;
+    std::vector<std::chrono::steady_clock::time_point> arrivals;
+    header_list last_headers;
     std::string last_caller;
 };
 
 mesh_target::mesh_target(socket_address const& address, socket_address const& heartbeats,
-                         std::string id, std::string service, std::string version)
+                         std::string id, std::string service, std::string version, seconds cold)
     : self(std::make_unique<implementation>(address, heartbeats, std::move(id), std::move(service),
-                                            std::move(version))) {}
+                                            std::move(version), cold)) {}
 
 mesh_target::~mesh_target() = default;
 
@@ -201,6 +209,10 @@
     this->self->is_leaving = is_leaving;
 }
 
+void mesh_target::set_cold(seconds remaining) {
+    this->self->cold_remaining = remaining;
+}
+
 void mesh_target::stop_heartbeats() {
     this->self->has_stopped_heartbeats = true;
 }
@@ -235,6 +247,16 @@
     return this->self->runs;
 }
 
+std::vector<std::chrono::steady_clock::time_point> mesh_target::arrivals() const {
+    std::lock_guard const guard(this->self->lock);
+    return this->self->arrivals;
+}
+
+header_list mesh_target::last_headers() const {
+    std::lock_guard const guard(this->self->lock);
+    return this->self->last_headers;
+}
+
 std::string mesh_target::calling_service() const {
     std::lock_guard const guard(this->self->lock);
     return this->self->last_caller;
--- a/tests/processes/mesh_support/mesh_target.h
+++ b/tests/processes/mesh_support/mesh_target.h
@@ -2,11 +2,14 @@
 
 #include "core/socket_address.h"
 #include "core/time.h"
+#include "http/header_list.h"
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace peridot::processes {
 
@@ -14,8 +17,9 @@
 /// that it runs, and responds like the platform's targets.
 class mesh_target {
 public:
+    /// The heartbeats state that the target stays cold for the given time.
     mesh_target(socket_address const& address, socket_address const& heartbeats, std::string id,
-                std::string service, std::string version);
+                std::string service, std::string version, seconds cold = seconds(0));
     ~mesh_target();
     mesh_target(mesh_target const&) = delete;
     mesh_target& operator=(mesh_target const&) = delete;
@@ -38,6 +42,8 @@
     void set_large_bodies(std::size_t parts, milliseconds pause = milliseconds(0));
     /// Closes the connection after this many parts of a large body.
     void cut_bodies_after(std::size_t parts);
+    /// States in every heartbeat for how long the target stays cold.
+    void set_cold(seconds remaining);
     /// Stops sending heartbeats.
     void stop_heartbeats();
     /// Deregisters the target; returns whether the call was acknowledged.
@@ -48,6 +54,10 @@
     std::size_t run_count() const;
     /// Returns how often each attempt ran.
     std::map<std::string, std::size_t> run_counts() const;
+    /// Returns when each request arrived, in this order.
+    std::vector<std::chrono::steady_clock::time_point> arrivals() const;
+    /// Returns the headers of the last request.
+    header_list last_headers() const;
     /// Returns the calling service that the last request named.
     std::string calling_service() const;
 
--- a/tests/processes/mesh_support/sidecar_fleet.cpp
+++ b/tests/processes/mesh_support/sidecar_fleet.cpp
@@ -105,16 +105,16 @@
     instance->settings_file = this->directory / (instance->name + ".json");
     std::ofstream(instance->settings_file) << json::serialize(settings);
     this->start(*instance);
-    this->replace_target(*instance, "i-" + std::to_string(number));
+    this->replace_target(*instance, "i-" + std::to_string(number), options.target_cold);
     this->instances.push_back(std::move(instance));
     return *this->instances.back();
 }
 
-void sidecar_fleet::replace_target(mesh_instance& instance, std::string const& id) {
+void sidecar_fleet::replace_target(mesh_instance& instance, std::string const& id, seconds cold) {
     instance.target.reset();
     instance.target = std::make_unique<mesh_target>(socket_address{instance.ip, target_port},
                                                     socket_address{instance.ip, heartbeats_port},
-                                                    id, instance.service, instance.version);
+                                                    id, instance.service, instance.version, cold);
 }
 
 json::array sidecar_fleet::control_addresses() const {
@@ -153,9 +153,34 @@
     this->platform->put("op", "config", json::serialize(configuration));
 }
 
-std::optional<http_response> sidecar_fleet::call(mesh_instance const& from, std::string const& path,
-                                                 std::string const& attempt,
-                                                 milliseconds deadline) {
+void sidecar_fleet::configure(std::uint64_t version, configuration_options const& options) {
+    json::array resources;
+    resources.push_back(route_json("get", "/get/", "idempotent"));
+    resources.push_back(route_json("pay", "/pay/", "non_idempotent"));
+    if (options.has_public_route) {
+        auto route = route_json("open", "/open/", "idempotent");
+        route["Spec"].as_object()["Public"] = true;
+        resources.push_back(std::move(route));
+    }
+    for (auto const& each : options.workspaces) {
+        json::object const spec{{"ApiKeys", json::array(each.keys.begin(), each.keys.end())},
+                                {"RatePerS", each.rate_per_second},
+                                {"Burst", each.burst}};
+        resources.push_back(
+            {{"TypeUrl", "Tenants"}, {"Metadata", {{"Name", each.name}}}, {"Spec", spec}});
+    }
+    json::object const spec{
+        {"HealthPath", "/health"}, {"MaxConnections", 100}, {"ColdPerS", options.cold_rate}};
+    resources.push_back(
+        {{"TypeUrl", "Services"}, {"Metadata", {{"Name", "deposits"}}}, {"Spec", spec}});
+    json::object configuration;
+    configuration["Version"] = "r" + std::to_string(version);
+    configuration["Resources"] = std::move(resources);
+    this->platform->put("op", "config", json::serialize(configuration));
+}
+
+http_request sidecar_fleet::make_request(std::string const& path, std::string const& attempt,
+                                         milliseconds deadline) {
     http_request request;
     request.method = path.starts_with("/pay/") ? "POST" : "GET";
     request.target = path;
@@ -163,8 +188,14 @@
     request.headers.set("X-Attempt-Id", attempt);
     request.headers.set("X-Deadline-Ms", std::to_string(deadline.count()));
     request.headers.set("X-Caller-Service", "forged");
+    return request;
+}
+
+std::optional<http_response> sidecar_fleet::call(mesh_instance const& from, std::string const& path,
+                                                 std::string const& attempt,
+                                                 milliseconds deadline) {
     http_caller caller;
-    return caller.call(calls_address(from), std::move(request));
+    return caller.call(calls_address(from), make_request(path, attempt, deadline));
 }
 
 void sidecar_fleet::print_logs(std::ostream& out) const {
--- a/tests/processes/mesh_support/sidecar_fleet.h
+++ b/tests/processes/mesh_support/sidecar_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/socket_address.h"
+#include "http/http_request.h"
 #include "http/http_response.h"
 #include "processes/mesh_support/mesh_target.h"
 #include "processes/mesh_support/store_standin.h"
@@ -39,6 +40,25 @@
     /// The node accepts requests from other nodes at a separate address, so that a proxy can listen
     /// at its public one.
     bool is_behind_proxy = false;
+    /// Time for which the heartbeats of its target state that it is cold.
+    seconds target_cold{0};
+};
+
+/// A workspace of the configuration.
+struct workspace_entry {
+    std::string name;
+    std::vector<std::string> keys;
+    double rate_per_second = 0;
+    double burst = 0;
+};
+
+/// Parts of the configuration beside its usual routes.
+struct configuration_options {
+    std::vector<workspace_entry> workspaces;
+    /// Adds a route under /open/ that needs no key.
+    bool has_public_route = false;
+    /// Requests per second for cold targets of the service; zero for no limit.
+    double cold_rate = 0;
 };
 
 /// Sidecars with their targets and a store, on loopback addresses that no other test program uses.
@@ -60,13 +80,18 @@
     /// Restarts the node of the instance with the same target.
     void restart(mesh_instance& instance);
     /// Stops the instance's target, if any, and starts another one with the given id.
-    void replace_target(mesh_instance& instance, std::string const& id);
+    void replace_target(mesh_instance& instance, std::string const& id, seconds cold = seconds(0));
 
     /// Writes a configuration to the store that routes one lookup route under /get/, one
     /// non-idempotent route under /pay/, and the given number of additional routes to the service
     /// deposits.
     void configure(std::uint64_t version, std::size_t more_routes = 0);
 
+    void configure(std::uint64_t version, configuration_options const& options);
+
+    /// The request that call() sends.
+    static http_request make_request(std::string const& path, std::string const& attempt,
+                                     milliseconds deadline = milliseconds(5000));
     /// Sends one request through the instance's node; returns no value without a complete response.
     std::optional<http_response> call(mesh_instance const& from, std::string const& path,
                                       std::string const& attempt,
--- a/tests/processes/mesh_support/store_standin.cpp
+++ b/tests/processes/mesh_support/store_standin.cpp
@@ -41,6 +41,7 @@
 struct stored_row {
     std::string value;
     std::uint64_t revision = 0;
+    bool is_removed = false;
 };
 using row_key = std::pair<std::string, std::string>;
 
@@ -108,18 +109,24 @@
     };
 
     static json::object row_json(row_key const& key, stored_row const& row) {
-        return {{"Table", key.first},
-                {"part", ""},
-                {"Key", key.second},
-                {"Value", to_base64(row.value)},
-                {"SchemaVersion", row.revision}};
+        json::object object{{"Table", key.first},
+                            {"part", ""},
+                            {"Key", key.second},
+                            {"Value", to_base64(row.value)},
+                            {"SchemaVersion", row.revision}};
+        if (row.is_removed) {
+            object["Tombstone"] = true;
+        }
+        return object;
     }
 
     json::object page(std::string const& table, std::uint64_t after) const {
         std::lock_guard const guard(this->lock);
         json::array rows;
         for (auto const& [key, row] : this->rows) {
-            if (key.first == table && row.revision > after) {
+            // A complete reading contains no removals.
+            bool const is_listed = !row.is_removed || after > 0;
+            if (key.first == table && row.revision > after && is_listed) {
                 rows.push_back(row_json(key, row));
             }
         }
@@ -149,9 +156,10 @@
             row_key const key{std::string(item.at("Table").as_string()),
                               std::string(item.at("Key").as_string())};
             auto const found = this->rows.find(key);
-            auto const held = found == this->rows.end() ? 0 : found->second.revision;
+            bool const exists = found != this->rows.end() && !found->second.is_removed;
+            auto const held = exists ? found->second.revision : 0;
             is_met &= held == item.at("SchemaVersion").to_number<std::uint64_t>();
-            if (found != this->rows.end()) {
+            if (exists) {
                 current.push_back(row_json(key, found->second));
             }
         }
@@ -327,6 +335,11 @@
     this->self->rows[{table, key}] = {value, ++this->self->revision};
 }
 
+void store_standin::remove(std::string const& table, std::string const& key) {
+    std::lock_guard const guard(this->self->lock);
+    this->self->rows[{table, key}] = {"", ++this->self->revision, true};
+}
+
 std::string store_standin::value(std::string const& table, std::string const& key) const {
     std::lock_guard const guard(this->self->lock);
     auto const found = this->self->rows.find({table, key});
@@ -336,7 +349,8 @@
 std::uint64_t store_standin::revision(std::string const& table, std::string const& key) const {
     std::lock_guard const guard(this->self->lock);
     auto const found = this->self->rows.find({table, key});
-    return found == this->self->rows.end() ? 0 : found->second.revision;
+    bool const exists = found != this->self->rows.end() && !found->second.is_removed;
+    return exists ? found->second.revision : 0;
 }
 
 int store_standin::requested_transactions() const {
--- a/tests/processes/mesh_support/store_standin.h
+++ b/tests/processes/mesh_support/store_standin.h
@@ -28,6 +28,8 @@
 
     /// Writes a row as the operator does.
     void put(std::string const& table, std::string const& key, std::string const& value);
+    /// Removes a row as the operator does.
+    void remove(std::string const& table, std::string const& key);
     /// Returns the row's value; empty if the row does not exist.
     std::string value(std::string const& table, std::string const& key) const;
     /// Returns the row's revision; zero if the row does not exist.
