--- a/libraries/quotas/quota_pool.cpp
+++ b/libraries/quotas/quota_pool.cpp
@@ -20,8 +20,10 @@
     void refill_all(boot_time now) {
         double const share_seconds = this->delegations.share_seconds(now);
         double const share = this->delegations.share(now);
-        for (auto& [workspace, bucket] : this->buckets) {
-            bucket.refill(share_seconds, share, min_capacity);
+        // Buckets start with the shares and not with the first request, which would be refused.
+        for (auto const& [workspace, own_terms] : this->terms) {
+            this->buckets.try_emplace(workspace, quota_bucket(own_terms, share_seconds))
+                .first->second.refill(share_seconds, share, min_capacity);
         }
     }
 
--- a/tests/quotas/quota_pool_test.cpp
+++ b/tests/quotas/quota_pool_test.cpp
@@ -78,6 +78,13 @@
     UNSIGNED_LONGS_EQUAL(1, lend_all(after(seconds(30))));
 }
 
+// Guards against a refusal of the first request of each workspace that is seldom used.
+TEST(quota_pool, tokens_accrue_before_the_first_request) {
+    pool.delegate("a", after(seconds(60)), start);
+    pool.delegate("b", after(seconds(60)), start);
+    UNSIGNED_LONGS_EQUAL(10, lend_all(after(seconds(1))));
+}
+
 // Guards against a burst that is lent twice: by the pool that saved it up before its shares ended,
 // and meanwhile by another one.
 TEST(quota_pool, burst_is_not_kept_while_the_shares_are_elsewhere) {
