--- a/libraries/quotas/lender_choice.h
+++ b/libraries/quotas/lender_choice.h
@@ -13,8 +13,8 @@
 
 /// How long a delegation counts at the node that receives it. At the node that has sent it, it
 /// counts for the margin longer, which covers the time for which a datagram may be under way.
-inline constexpr milliseconds delegation_time{1000};
-inline constexpr milliseconds delegation_margin{200};
+inline constexpr milliseconds delegation_time{600};
+inline constexpr milliseconds delegation_margin{150};
 
 /// Chooses the node that one pool is asked at, and when the share of this node may move to another.
 ///
--- a/libraries/quotas/quota_bucket.h
+++ b/libraries/quotas/quota_bucket.h
@@ -11,8 +11,9 @@
 /// seconds of the whole quota.
 class quota_bucket {
 public:
-    /// Starts empty: a predecessor may have lent the burst already.
-    quota_bucket(quota_terms const& terms, double share_seconds);
+    /// Starts empty at the given sum of share seconds, since a predecessor may have lent the burst
+    /// already.
+    explicit quota_bucket(quota_terms const& terms, double share_seconds = 0);
 
     void set_terms(quota_terms const& changed) { this->terms = changed; }
 
--- a/tests/quotas/lender_choice_test.cpp
+++ b/tests/quotas/lender_choice_test.cpp
@@ -38,8 +38,8 @@
     suspected_until["first"] = after(2000);
     STRCMP_EQUAL("second", lender(after(100)).c_str());
     CHECK_FALSE(may_delegate("second", after(100)));
-    CHECK_FALSE(may_delegate("second", after(1199)));
-    CHECK(may_delegate("second", after(1200)));
+    CHECK_FALSE(may_delegate("second", after(749)));
+    CHECK(may_delegate("second", after(750)));
 }
 
 // Guards against a second without tokens whenever a node that was taken for silent is asked again:
@@ -49,9 +49,9 @@
     choice.delegate("second", after(1900));
     STRCMP_EQUAL("second", lender(after(2000)).c_str());
     CHECK_FALSE(may_delegate("second", after(2000)));
-    STRCMP_EQUAL("second", lender(after(3099)).c_str());
-    STRCMP_EQUAL("first", lender(after(3100)).c_str());
-    CHECK(may_delegate("first", after(3100)));
+    STRCMP_EQUAL("second", lender(after(2649)).c_str());
+    STRCMP_EQUAL("first", lender(after(2650)).c_str());
+    CHECK(may_delegate("first", after(2650)));
 }
 
 // Guards against a holder that is asked although it is silent or has left.
@@ -66,6 +66,6 @@
 // Guards against a restarted node that delegates the share that its earlier process has delegated.
 TEST(lender_choice, share_of_an_earlier_process_is_not_delegated_again) {
     choice.assume_delegated(start);
-    CHECK_FALSE(may_delegate("first", after(1199)));
-    CHECK(may_delegate("first", after(1200)));
+    CHECK_FALSE(may_delegate("first", after(749)));
+    CHECK(may_delegate("first", after(750)));
 }
--- a/tests/sidecar/quota_agent_test.cpp
+++ b/tests/sidecar/quota_agent_test.cpp
@@ -42,7 +42,7 @@
     rcu_cell<fleet_view> views{make_view(1, 10)};
     metric_registry registry;
     sidecar_metrics metrics{registry};
-    quota_agent agent{context, "own", {"127.0.0.1", 0}, views, metrics};
+    quota_agent agent{context, "own", {"127.0.0.1", 0}, 0, views, metrics};
     std::optional<quota_decision> decision;
     asio::cancellation_signal leaving;
 
