quotas: start the own share of every workspace without tokens

A workspace whose first request came after a delegation found what the own share had saved up before it.

--- a/libraries/quotas/quota_account.cpp
+++ b/libraries/quotas/quota_account.cpp
@@ -32,7 +32,8 @@
     };
 
     struct workspace_state {
-        explicit workspace_state(quota_terms const& terms) : own(terms) {}
+        explicit workspace_state(quota_terms const& terms, double share_seconds)
+            : own(terms, share_seconds) {}
 
         std::deque<lent_tokens> lent;
         quota_bucket own;
@@ -42,7 +43,8 @@
     };
 
     workspace_state& state_of(quota_key workspace) {
-        return this->states.try_emplace(workspace, this->terms.at(workspace)).first->second;
+        return this->states.try_emplace(workspace, this->terms.at(workspace), this->own_since)
+            .first->second;
     }
 
     // The own share accrues only while it is not delegated.
@@ -71,6 +73,8 @@
     boot_time delegated_until;
     boot_time advanced_to;
     double own_share_seconds = 0;
+    /// The share seconds at the last delegation.
+    double own_since = 0;
     std::unordered_map<quota_key, workspace_state> states;
 };
 
@@ -96,8 +100,9 @@
     this->self->advance(now);
     if (now >= this->self->delegated_until && until > now) {
         // The pool has a burst of its own, so what the share has saved up would be admitted twice.
+        this->self->own_since = this->self->own_share_seconds;
         for (auto& [workspace, state] : this->self->states) {
-            state.own = quota_bucket(this->self->terms.at(workspace), this->self->own_share_seconds);
+            state.own = quota_bucket(this->self->terms.at(workspace), this->self->own_since);
         }
     }
     this->self->delegated_until = std::max(this->self->delegated_until, until);
--- a/tests/quotas/quota_pool_test.cpp
+++ b/tests/quotas/quota_pool_test.cpp
@@ -129,6 +129,13 @@
     UNSIGNED_LONGS_EQUAL(5, take_all(after(milliseconds(3000))));
 }
 
+// Guards against a workspace whose first request finds what the share has saved up before an
+// earlier delegation.
+TEST(quota_account, first_request_finds_no_tokens_from_before_a_delegation) {
+    account.set_delegated_until(after(milliseconds(2500)), after(milliseconds(2000)));
+    UNSIGNED_LONGS_EQUAL(0, take_all(after(milliseconds(2500))));
+}
+
 // Guards against lent tokens that are used after their time, for example after a suspension.
 TEST(quota_account, lent_tokens_expire) {
     account.set_delegated_until(after(seconds(60)), start);
