--- a/tests/quotas/quota_pool_test.cpp
+++ b/tests/quotas/quota_pool_test.cpp
@@ -78,6 +78,13 @@
     UNSIGNED_LONGS_EQUAL(1, lend_all(after(seconds(30))));
 }
 
+// Guards against a refusal of the first request of each workspace that is seldom used.
+TEST(quota_pool, tokens_accrue_before_the_first_request) {
+    pool.delegate("a", after(seconds(60)), start);
+    pool.delegate("b", after(seconds(60)), start);
+    UNSIGNED_LONGS_EQUAL(10, lend_all(after(seconds(1))));
+}
+
 // Guards against a burst that is lent twice: by the pool that saved it up before its shares ended,
 // and meanwhile by another one.
 TEST(quota_pool, burst_is_not_kept_while_the_shares_are_elsewhere) {
@@ -122,6 +129,13 @@
     UNSIGNED_LONGS_EQUAL(5, take_all(after(milliseconds(3000))));
 }
 
+// Guards against a workspace whose first request finds what the share has saved up before an
+// earlier delegation.
+TEST(quota_account, first_request_finds_no_tokens_from_before_a_delegation) {
+    account.set_delegated_until(after(milliseconds(2500)), after(milliseconds(2000)));
+    UNSIGNED_LONGS_EQUAL(0, take_all(after(milliseconds(2500))));
+}
+
 // Guards against lent tokens that are used after their time, for example after a suspension.
 TEST(quota_account, lent_tokens_expire) {
     account.set_delegated_until(after(seconds(60)), start);
