mesh: order the waiting requests of several workspaces

Requests were ordered by deadline, so a workspace at five times its usual rate displaced all others. Once requests of workspaces wait, fair_order decides: poorly served workspaces and routes first, then calls of accepted requests, the priority of the workspace, and deficit round robin by usual demand. Callers that were refused are recognized by their deadline, so that their retries count once and go before newcomers. Their Retry-After is the expected wait. Without workspaces the order stays as it was.

A request that has waited until too little time is left no longer starts: the exemption from the mean was relative to what was left, so it always applied in the end. The cancellation of a request takes the time.

--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -1,5 +1,6 @@
 #include "mesh/gate_queue.h"
 
+#include "mesh/fair_order.h"
 #include "mesh/fraction_of.h"
 #include "mesh/request_pacer.h"
 #include "mesh/route_usage.h"
@@ -36,6 +37,8 @@
 constexpr milliseconds priority_step{100};
 constexpr milliseconds min_retry_after{50};
 constexpr milliseconds max_retry_after{2000};
+// A longer forecast says little.
+constexpr milliseconds max_workspace_retry_after{10'000};
 // Fraction of the slot time that is reserved for the routes that use least of it. Within it their
 // requests go first, whatever their priority and deadlines.
 constexpr double reserved_share = 0.125;
@@ -76,6 +79,9 @@
     struct running_request {
         std::string route;
         boot_time started;
+        std::string workspace;
+        /// Expected slot time at the start.
+        nanoseconds slot_time{0};
     };
 
     // Rank among the queued requests: requests that can be answered by their soft deadline come
@@ -97,11 +103,14 @@
         return usage;
     }
 
+    bool is_likely_answered(gate_request const& request, boot_time now) const {
+        return this->mean_service_time(request.route) <=
+               fraction_of(request.deadline - now, likely_fraction);
+    }
+
     // Share of the slot time within which a request goes ahead of those of other routes.
     double claimed_share(gate_request const& request, boot_time now) const {
-        bool const is_likely_answered = this->mean_service_time(request.route) <=
-                                        fraction_of(request.deadline - now, likely_fraction);
-        return is_likely_answered ? reserved_share : trial_share;
+        return this->is_likely_answered(request, now) ? reserved_share : trial_share;
     }
 
     struct ranked_request {
@@ -141,9 +150,31 @@
         }
     }
 
-    // The queued requests in the order in which they get slots: those within the reserved share
-    // come first, and each group is sorted by rank.
+    bool has_workspaces() const {
+        return std::ranges::any_of(
+            this->queue, [](gate_request const& waiting) { return !waiting.workspace.empty(); });
+    }
+
+    std::vector<ranked_request> order_among_workspaces(boot_time now) const {
+        std::vector<fair_order::candidate> candidates;
+        for (auto const& waiting : this->queue) {
+            candidates.push_back({&waiting, this->rank(waiting, now),
+                                  this->mean_service_time(waiting.route),
+                                  this->is_likely_answered(waiting, now)});
+        }
+        std::vector<ranked_request> ordered;
+        for (auto const& [position, is_owed] : this->fairness.order(candidates, now)) {
+            ordered.push_back({candidates[position].rank, position, is_owed});
+        }
+        return ordered;
+    }
+
+    // The queued requests in the order in which they get slots. Without workspaces, those within
+    // the reserved share come first, and each group is sorted by rank.
     std::vector<ranked_request> service_order(boot_time now) const {
+        if (this->has_workspaces()) {
+            return this->order_among_workspaces(now);
+        }
         auto ranked = this->ranked_requests(now);
         if (!this->has_several_routes()) {
             return ranked;
@@ -274,33 +305,42 @@
     }
 
     // Minimum time between the start of a request and its deadline; with less, the request is
-    // refused.
-    nanoseconds required_time(gate_request const& request, boot_time now) const {
+    // refused. The exemption from the mean is relative to the time at the arrival: relative to what
+    // is left, it would let requests start that have waited until there is too little time.
+    nanoseconds required_time(gate_request const& request) const {
         return std::min(this->conservative_service_time(request.route),
-                        fraction_of(request.deadline - now, mean_exempt_fraction));
+                        fraction_of(request.deadline - request.arrived, mean_exempt_fraction));
     }
 
     // Whether too little time is left until the deadline if the request starts at the given time.
-    bool misses_deadline(gate_request const& request, boot_time start, boot_time now) const {
-        return start + this->required_time(request, now) > request.deadline;
+    bool misses_deadline(gate_request const& request, boot_time start) const {
+        return start + this->required_time(request) > request.deadline;
     }
 
     // Whether a new request that starts at the given time would be answered after its limit.
-    bool misses_limit(gate_request const& request, boot_time start, boot_time now) const {
+    bool misses_limit(gate_request const& request, boot_time start) const {
         return request.finish_by < request.deadline
                    ? start + this->conservative_service_time(request.route) > request.finish_by
-                   : this->misses_deadline(request, start, now);
+                   : this->misses_deadline(request, start);
     }
 
     void start(gate_request const& request, boot_time now) {
-        this->running.emplace(request.id, running_request{request.route, now});
+        auto const slot_time = this->mean_service_time(request.route);
+        this->running.emplace(request.id,
+                              running_request{request.route, now, request.workspace, slot_time});
+        this->fairness.record_start(request, slot_time, now);
         this->pacer.start(now);
     }
 
-    static gate_refusal overload_refusal(nanoseconds wait) {
-        return {result_code::request_overloaded,
-                std::clamp(to_milliseconds(wait) / 2, min_retry_after, max_retry_after),
-                to_milliseconds(wait)};
+    static gate_refusal overload_refusal(gate_request const& request, nanoseconds wait) {
+        auto const expected = to_milliseconds(wait);
+        // Callers that come back go before newcomers of their workspace, so they get a slot after
+        // the whole wait. Without workspaces they find room again after half of it.
+        auto const retry_after =
+            request.workspace.empty()
+                ? std::clamp(expected / 2, min_retry_after, max_retry_after)
+                : std::clamp(expected, min_retry_after, max_workspace_retry_after);
+        return {result_code::request_overloaded, retry_after, expected};
     }
 
     // Whether the request could still be running when the node stops.
@@ -316,6 +356,7 @@
     std::vector<gate_request> queue;
     std::unordered_map<std::uint64_t, running_request> running;
     route_usage finished_usage;
+    fair_order fairness;
     std::map<std::string, route_service_times, std::less<>> service_times;
     nanoseconds overall_mean{0};
 };
@@ -341,6 +382,7 @@
     if (impl.slots == 0) {
         return gate_refusal{result_code::request_no_endpoint, min_retry_after};
     }
+    request.arrived = now;
     impl.set_initial_estimate(request, now);
     if (now >= request.deadline) {
         return gate_refusal{result_code::request_deadline_exceeded, {}};
@@ -348,6 +390,7 @@
     if (impl.may_outlast_stop(request, now)) {
         return gate_refusal{result_code::request_draining, min_retry_after};
     }
+    impl.fairness.record_offer(request, impl.mean_service_time(request.route), now);
     if (impl.queue.empty() && impl.can_start(now)) {
         impl.start(request, now);
         return gate_start{};
@@ -356,9 +399,11 @@
     impl.queue.push_back(std::move(request));
     auto const [start, is_reserved] = impl.expect_newest(now);
     bool const is_full = waiting >= queue_capacity + (is_reserved ? reserved_capacity : 0);
-    if (is_full || impl.misses_limit(impl.queue.back(), start, now)) {
+    if (is_full || impl.misses_limit(impl.queue.back(), start)) {
+        auto const refused = std::move(impl.queue.back());
         impl.queue.pop_back();
-        return implementation::overload_refusal(start - now);
+        impl.fairness.record_refusal(refused, now);
+        return implementation::overload_refusal(refused, start - now);
     }
     return gate_wait{};
 }
@@ -368,7 +413,7 @@
     if (found == this->self->running.end()) {
         return;
     }
-    auto const& [route, started] = found->second;
+    auto const& [route, started, workspace, slot_time] = found->second;
     auto const elapsed = now - started;
     bool const exceeds_mean =
         result != outcome::succeeded && elapsed > this->self->mean_service_time(route);
@@ -377,12 +422,17 @@
     }
     this->self->finished_usage.decay(now);
     this->self->finished_usage.add(route, elapsed);
+    this->self->fairness.correct_slot_time(workspace, slot_time, elapsed, now);
     this->self->running.erase(found);
 }
 
-void gate_queue::cancel(std::uint64_t id) {
-    std::erase_if(this->self->queue,
-                  [id](gate_request const& waiting) { return waiting.id == id; });
+void gate_queue::cancel(std::uint64_t id, boot_time now) {
+    auto& impl = *this->self;
+    auto const found = std::ranges::find(impl.queue, id, &gate_request::id);
+    if (found != impl.queue.end()) {
+        impl.fairness.withdraw_offer(*found, impl.mean_service_time(found->route), now);
+        impl.queue.erase(found);
+    }
 }
 
 gate_queue::dequeued_requests gate_queue::dispatch(boot_time now) {
@@ -404,9 +454,10 @@
                 waiting.id, gate_refusal{result_code::request_draining, min_retry_after});
             continue;
         }
-        if (now >= waiting.deadline || impl.misses_deadline(waiting, start, now)) {
+        if (now >= waiting.deadline || impl.misses_deadline(waiting, start)) {
+            impl.fairness.record_refusal(waiting, now);
             dequeued.refused.emplace_back(waiting.id,
-                                          implementation::overload_refusal(start - now));
+                                          implementation::overload_refusal(waiting, start - now));
             continue;
         }
         forecast.reserve_start(start, impl.mean_service_time(waiting.route));
--- a/libraries/mesh/gate_queue.h
+++ b/libraries/mesh/gate_queue.h
@@ -26,6 +26,7 @@
 /// can no longer meet theirs come last. A small share of the slot time is reserved for the routes
 /// that use least of it, so that a frequent route cannot starve another one. A request that is not
 /// expected to be answered by its own limit is refused immediately and not held until it expires.
+/// While requests of workspaces are queued, fair_order decides on the order instead.
 ///
 /// Not thread-safe. The current time is passed as an argument.
 class gate_queue {
@@ -60,7 +61,7 @@
     void finish(std::uint64_t id, outcome result, boot_time now);
 
     /// Removes a queued request whose caller has disconnected.
-    void cancel(std::uint64_t id);
+    void cancel(std::uint64_t id, boot_time now);
 
     /// Requests that have left the queue: those that got a slot and those that were refused.
     struct dequeued_requests {
--- a/libraries/mesh/gate_request.h
+++ b/libraries/mesh/gate_request.h
@@ -3,6 +3,7 @@
 #include "core/boot_clock.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace peridot {
@@ -19,6 +20,15 @@
     boot_time deadline;
     /// The request is refused immediately if its response is not expected by this time.
     boot_time finish_by;
+    /// Workspace of the caller; empty if the request has none.
+    std::string workspace = {};
+    /// 0 is the highest; goes before the priority of the route. A request of a workspace without
+    /// one ranks after all that have one.
+    std::optional<unsigned> workspace_priority = {};
+    /// Time of the offer. Set by the queue.
+    boot_time arrived = {};
+    /// Whether the caller was refused before and has come back. Determined by the queue.
+    bool is_return = false;
 };
 
 } // namespace peridot
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -71,7 +71,7 @@
             // A slot may have been assigned between the decision and the cancellation of the
             // request, so both are released unconditionally.
             this->gate.queue.finish(this->number, this->ended, now);
-            this->gate.queue.cancel(this->number);
+            this->gate.queue.cancel(this->number, now);
             this->gate.waiters.erase(this->number);
             this->gate.dispatch(now);
         }
@@ -104,8 +104,8 @@
             this->notice.rate_limit = call.rate_limit;
         }
         std::uint64_t const number = ++this->last_number;
-        gate_request queued{number,        call.route,    call.priority, call.soft_deadline,
-                            call.deadline, call.finish_by};
+        gate_request queued{number,        call.route,     call.priority,  call.soft_deadline,
+                            call.deadline, call.finish_by, call.workspace, call.workspace_priority};
         auto const guard = std::make_shared<slot_guard>(*this, number);
         this->update_rate_limit(boot_clock::now());
         auto decision = this->queue.offer(std::move(queued), boot_clock::now());
--- a/tests/mesh/arrival_stream.h
+++ b/tests/mesh/arrival_stream.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace peridot {
@@ -14,8 +15,18 @@
     milliseconds gap{1};
     /// Time that the target takes for a request.
     milliseconds work{200};
+    /// Standard deviation of the logarithm of the work; with one above 0, 1 in 100 requests takes
+    /// five times as long.
+    double work_spread = 0;
     milliseconds target_latency{600};
     milliseconds deadline{1500};
+    std::string workspace = {};
+    std::optional<unsigned> workspace_priority = {};
+    /// Time after which a caller that was refused comes back, until its deadline; 0 if it does not.
+    milliseconds retry_pause{0};
+    /// Time after which a caller leaves; 0 if it waits until its deadline.
+    milliseconds leaves_after{0};
+    /// Number of callers. Their repeated requests count as one.
     std::int64_t offered = 0;
     std::int64_t started = 0;
     std::int64_t answered = 0;
--- a/tests/mesh/gate_queue_test.cpp
+++ b/tests/mesh/gate_queue_test.cpp
@@ -109,6 +109,20 @@
     CHECK(is_waiting(queue.offer(request(1002, "slow", begin, seconds(1), seconds(2)), begin)));
 }
 
+// Guards against requests that have waited until there is too little time and start nevertheless:
+// the target works on them in vain, and others could have had the slot.
+TEST(gate_queue, request_that_has_waited_too_long_does_not_start) {
+    queue.set_slots(1);
+    record_service_time("a", milliseconds(100), begin);
+    CHECK(is_started(queue.offer(request(1001, "a", begin, seconds(2), seconds(9)), begin)));
+    CHECK(is_waiting(queue.offer(request(1002, "a", begin, milliseconds(50), seconds(1)), begin)));
+    auto const late = begin + milliseconds(940);
+    queue.finish(1001, gate_queue::outcome::unanswered, late);
+    auto const dequeued = queue.dispatch(late);
+    CHECK(dequeued.started.empty());
+    LONGS_EQUAL(1, dequeued.refused.size());
+}
+
 // Guards against urgent requests that are queued behind requests that can no longer meet their soft
 // deadline.
 TEST(gate_queue, requests_that_can_be_on_time_go_first) {
