--- a/libraries/mesh/fair_order.cpp
+++ b/libraries/mesh/fair_order.cpp
@@ -32,6 +32,9 @@
 // Weight of a workspace in relation to an equal share, at least: a workspace with little or no
 // usual demand gets slots too.
 constexpr double min_weight = 0.5;
+// If more callers of a workspace have recently left while they waited than this, in relation to its
+// other requests, the newest go first. The oldest would start shortly before their callers leave.
+constexpr double max_left_fraction = 0.1;
 constexpr seconds forget_period{10};
 // Workspaces and routes with less recent demand than this are forgotten.
 constexpr double negligible = 1e-3;
@@ -49,6 +52,13 @@
     served_counts served;
     decaying_sum slot_time{slot_time_half_life};
     decaying_sum usual_demand{usual_half_life};
+    /// Callers that left while they waited.
+    decaying_sum left{served_half_life};
+
+    // Whether many callers leave while they wait.
+    bool is_newest_first(boot_time now) const {
+        return this->left.at(now) > max_left_fraction * this->served.offered.at(now);
+    }
 };
 
 struct route_account {
@@ -71,6 +81,7 @@
     served_numbers served;
     double slot_time = 0;
     double weight = 1;
+    bool is_newest_first = false;
 };
 
 struct route_turn {
@@ -180,6 +191,21 @@
 
 namespace {
 
+// Sorts the requests of one workspace and route.
+void sort_positions(std::vector<std::size_t>& positions,
+                    std::vector<fair_order::candidate> const& waiting, bool is_newest_first) {
+    if (is_newest_first) {
+        std::ranges::sort(positions, std::greater<>(), [&](std::size_t position) {
+            return std::pair(waiting[position].request->arrived, position);
+        });
+        return;
+    }
+    std::ranges::sort(positions, {}, [&](std::size_t position) {
+        auto const& each = waiting[position];
+        return std::tuple(!each.request->is_return, each.rank, position);
+    });
+}
+
 // The order in the making: the groups with the key of their next request.
 class turn_queue {
 public:
@@ -284,7 +310,9 @@
 void fair_order::withdraw_offer(gate_request const& request, nanoseconds slot_time, boot_time now) {
     if (this->self->is_active) {
         this->self->count(request, -1, 0, now);
-        this->self->workspaces[request.workspace].usual_demand.add(-in_seconds(slot_time), now);
+        auto& account = this->self->workspaces[request.workspace];
+        account.usual_demand.add(-in_seconds(slot_time), now);
+        account.left.add(1, now);
     }
 }
 
@@ -320,24 +348,22 @@
     std::vector<request_group> groups;
     for (auto& [name, positions] : grouped) {
         auto const& request = *waiting[positions.front()].request;
-        std::ranges::sort(positions, {}, [&](std::size_t position) {
-            auto const& each = waiting[position];
-            return std::tuple(!each.request->is_return, each.rank, position);
-        });
         if (!workspaces.contains(request.workspace)) {
             auto const account =
                 fair_order::implementation::account_of(impl.workspaces, request.workspace);
-            workspaces.emplace(request.workspace,
-                               workspace_turn{served_numbers(account.served, now),
-                                              account.slot_time.at(now),
-                                              std::max({account.usual_demand.at(now),
-                                                        equal_weight * min_weight, negligible})});
+            workspaces.emplace(
+                request.workspace,
+                workspace_turn{
+                    served_numbers(account.served, now), account.slot_time.at(now),
+                    std::max({account.usual_demand.at(now), equal_weight * min_weight, negligible}),
+                    account.is_newest_first(now)});
         }
         if (!routes.contains(request.route)) {
             auto const account = fair_order::implementation::account_of(impl.routes, request.route);
             routes.emplace(request.route, route_turn{served_numbers(account.served, now),
                                                      is_ahead(account, judged, now)});
         }
+        sort_positions(positions, waiting, workspaces.at(request.workspace).is_newest_first);
         groups.push_back(
             {&workspaces.at(request.workspace), &routes.at(request.route), std::move(positions)});
     }
--- a/libraries/mesh/fair_order.h
+++ b/libraries/mesh/fair_order.h
@@ -28,7 +28,8 @@
 /// - Deficit round robin among workspaces: the one that has recently used least slot time in
 ///   relation to its usual demand goes first.
 /// - Requests of callers that have come back go before others of their workspace.
-/// - Rank by deadline.
+/// - Rank by deadline. The newest request of a route goes first while many callers of the workspace
+///   leave before they get a slot.
 ///
 /// Not thread-safe. The current time is passed as an argument and must not be earlier than in the
 /// last call.
