--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -525,6 +525,7 @@
              {"waiting", static_cast<std::int64_t>(current.waiting)},
              {"slots", static_cast<std::int64_t>(current.slots)},
              {"priority", static_cast<std::int64_t>(call.priority)},
+             {"workspace", call.workspace},
              {"expected_wait_ms", current.expected_wait.count()},
              {"own_wait_ms", refused.expected_wait.count()},
              {"link_wait_ms", this->link.expected_delay(call.route, boot_clock::now()).count()},
