--- a/tests/http/server_thread.cpp
+++ b/tests/http/server_thread.cpp
@@ -27,9 +27,10 @@
     }
 }
 
-socket_address server_thread::start(http_server::handler respond, http_limits limits) {
+socket_address server_thread::start(http_server::handler respond, http_limits limits,
+                                    byte_budget const& budget) {
     this->self->server =
-        std::make_unique<http_server>(this->self->context, std::move(respond), limits);
+        std::make_unique<http_server>(this->self->context, std::move(respond), limits, budget);
     auto const bound = this->self->server->listen({"127.0.0.1", 0});
     this->self->thread = std::thread([this] { this->self->context.run(); });
     return is_ok(bound) ? value(bound) : socket_address{};
--- a/tests/http/server_thread.h
+++ b/tests/http/server_thread.h
@@ -19,7 +19,8 @@
     server_thread(server_thread&&) = delete;
     server_thread& operator=(server_thread&&) = delete;
 
-    socket_address start(http_server::handler respond, http_limits limits = {});
+    socket_address start(http_server::handler respond, http_limits limits = {},
+                         byte_budget const& budget = byte_budget());
     boost::asio::io_context& io();
     std::size_t requests_in_flight();
     /// Must only be used on the server's thread.
--- a/tests/sidecar/hop_message_test.cpp
+++ b/tests/sidecar/hop_message_test.cpp
@@ -166,6 +166,19 @@
     }
 }
 
+// Guards against a request that counts as possibly run although the other node's server has refused
+// it before its gate saw it, and against a response of a target that is taken for such a refusal.
+TEST(hop_message, refusal_by_the_server_of_another_node_is_a_refusal) {
+    http_response refusal{503, {{"Peridot-Outcome", "not_run"}}, ""};
+    auto const read = extract_hop_answer(refusal).answer;
+    CHECK(std::holds_alternative<gate_refusal>(read));
+    CHECK(std::get<gate_refusal>(read).reason == result_code::request_overloaded);
+    auto const passed_on = write_hop_answer(gate_ran{refusal}, {});
+    CHECK(std::holds_alternative<gate_ran>(extract_hop_answer(passed_on).answer));
+    http_response const unmarked{503, {}, ""};
+    CHECK(std::holds_alternative<gate_unknown>(extract_hop_answer(unmarked).answer));
+}
+
 // Guards against calls that another node cannot read because a value is at the limit of its type.
 TEST(hop_message, calls_round_trip_at_the_limits_of_each_field) {
     auto call = make_call();
