--- a/tests/http/client_bounds_test.cpp
+++ b/tests/http/client_bounds_test.cpp
@@ -34,6 +34,7 @@
 TEST_GROUP(client_bounds) {
     server_thread server;
     std::atomic<int> runs{0};
+    byte_budget budget;
 
     socket_address start(http_limits const& limits, std::optional<std::size_t> bound) {
         return this->server.start(
@@ -41,7 +42,7 @@
                 ++this->runs;
                 co_return http_response{200, {}, std::to_string(request.body.size())};
             },
-            limits, byte_budget(bound));
+            limits, this->budget = byte_budget(bound));
     }
 };
 
@@ -68,6 +69,21 @@
     STRCMP_CONTAINS("HTTP/1.1 200", served.c_str());
 }
 
+// Guards against a client that stops short of the end of its body and keeps others out.
+TEST(client_bounds, stalled_body_makes_room_for_others) {
+    constexpr std::size_t more_than_half = 600'000;
+    auto const address = start(make_limits(), budget_bytes);
+    raw_connection stalled(address);
+    stalled.send(make_head(false, more_than_half) + std::string(more_than_half - 1, 'x'));
+    CHECK(wait_for([&] { return budget.used() == more_than_half - 1; }));
+    CHECK(wait_for([&] {
+        raw_connection other(address);
+        other.send(make_head(false, more_than_half) + std::string(more_than_half, 'x'));
+        return other.read_some().starts_with("HTTP/1.1 200");
+    }));
+    STRCMP_CONTAINS("HTTP/1.1 503", stalled.read_all().c_str());
+}
+
 // Guards against a bound in deployments that do not set one.
 TEST(client_bounds, body_is_served_without_a_bound) {
     auto const address = start(make_limits(), std::nullopt);
