mesh: compare targets by an estimate of their load where they state a pace

Nodes hear of a target only with their own responses, and took an old report for the present load: many chose the same target, and short slowdowns were noticed after they were over. Where a target states its pace, load_estimate lets a report count for less as it gets older, counts the chance that no slot is free, and prefers the targets that were heard of last; the gate's queue measures service times as work, so that they follow the pace at once. Targets without a pace are chosen as before.

--- a/libraries/mesh/gate_load.h
+++ b/libraries/mesh/gate_load.h
@@ -2,6 +2,8 @@
 
 #include "core/time.h"
 
+#include <optional>
+
 namespace peridot {
 
 /// Load of a target.
@@ -15,6 +17,9 @@
     milliseconds service_time{0};
     /// Failure rate of the target's latest responses, from 0 to 1.
     double failure_rate = 0;
+    /// Present pace of work on the target's instance as the target states it; 1 is usual. No value
+    /// if the target states none.
+    std::optional<double> pace;
 };
 
 } // namespace peridot
--- a/libraries/mesh/gate_queue.cpp
+++ b/libraries/mesh/gate_queue.cpp
@@ -1,6 +1,7 @@
 #include "mesh/gate_queue.h"
 
 #include "mesh/fraction_of.h"
+#include "mesh/pace_clock.h"
 #include "mesh/request_pacer.h"
 #include "mesh/route_usage.h"
 
@@ -76,13 +77,15 @@
     struct running_request {
         std::string route;
         boot_time started;
+        /// Work that the target had done when the request started.
+        nanoseconds started_work{0};
     };
 
     // Rank among the queued requests: requests that can be answered by their soft deadline come
     // first, and each group is sorted by soft deadline.
     std::pair<bool, boot_time> rank(gate_request const& request, boot_time now) const {
         bool const is_late =
-            now + this->conservative_service_time(request.route) > request.soft_deadline;
+            now + this->conservative_service_time(request.route, now) > request.soft_deadline;
         return {is_late, request.soft_deadline + request.priority * priority_step};
     }
 
@@ -91,15 +94,16 @@
         auto usage = this->finished_usage;
         usage.decay(now);
         for (auto const& [id, request] : this->running) {
-            usage.add(request.route, std::max<nanoseconds>(this->mean_service_time(request.route),
-                                                           now - request.started));
+            usage.add(request.route,
+                      std::max<nanoseconds>(this->mean_service_time(request.route, now),
+                                            now - request.started));
         }
         return usage;
     }
 
     // Share of the slot time within which a request goes ahead of those of other routes.
     double claimed_share(gate_request const& request, boot_time now) const {
-        bool const is_likely_answered = this->mean_service_time(request.route) <=
+        bool const is_likely_answered = this->mean_service_time(request.route, now) <=
                                         fraction_of(request.deadline - now, likely_fraction);
         return is_likely_answered ? reserved_share : trial_share;
     }
@@ -136,7 +140,7 @@
             entry.is_reserved =
                 usage.is_within_share(request.route, this->claimed_share(request, now));
             if (entry.is_reserved) {
-                usage.add(request.route, this->mean_service_time(request.route));
+                usage.add(request.route, this->mean_service_time(request.route, now));
             }
         }
     }
@@ -154,28 +158,37 @@
         return ranked;
     }
 
-    nanoseconds mean_service_time(std::string const& route) const {
+    nanoseconds mean_service_time(std::string const& route, boot_time now) const {
         auto const found = this->service_times.find(route);
-        return found == this->service_times.end() ? this->overall_mean : found->second.mean;
+        return this->pace.time_for(
+            found == this->service_times.end() ? this->overall_mean : found->second.mean, now);
+    }
+
+    // Time that the target would have taken at its present pace for what it has done of the
+    // request. Without a pace it is the time since the start of the request.
+    nanoseconds elapsed_at_pace(running_request const& request, boot_time now) const {
+        return this->pace.time_for(this->pace.work_at(now) - request.started_work, now);
     }
 
     // Upper bound for the service time of most requests. With the mean alone, half of the requests
     // that wait for as long as possible would be answered too late.
-    nanoseconds conservative_service_time(std::string const& route) const {
+    nanoseconds conservative_service_time(std::string const& route, boot_time now) const {
         auto const found = this->service_times.find(route);
-        return found == this->service_times.end() ? this->overall_mean
-                                                  : found->second.mean + found->second.deviation;
+        return this->pace.time_for(found == this->service_times.end()
+                                       ? this->overall_mean
+                                       : found->second.mean + found->second.deviation,
+                                   now);
     }
 
     // Mean service time of the route, or the elapsed time of its running requests if that is
     // longer: a target that has just slowed down has not sent any slow responses yet.
     nanoseconds observed_service_time(std::string const& route, boot_time now) const {
-        auto const mean = this->mean_service_time(route);
+        auto const mean = this->mean_service_time(route, now);
         nanoseconds sum{0};
         int count = 0;
         for (auto const& [id, request] : this->running) {
             if (request.route == route) {
-                sum += std::max<nanoseconds>(mean, now - request.started);
+                sum += std::max<nanoseconds>(mean, this->elapsed_at_pace(request, now));
                 ++count;
             }
         }
@@ -186,27 +199,26 @@
     void set_initial_estimate(gate_request const& request, boot_time now) {
         auto const remaining = std::max(nanoseconds(0), request.soft_deadline - now);
         route_service_times times;
-        times.mean = fraction_of(remaining, initial_estimate_fraction);
+        times.mean = this->pace.work_in(fraction_of(remaining, initial_estimate_fraction), now);
         if (this->overall_mean.count() > 0) {
             times.mean = std::min(times.mean, this->overall_mean);
         }
         this->service_times.emplace(request.route, times);
     }
 
-    void record_service_time(std::string const& route, nanoseconds elapsed) {
+    void record_service_time(std::string const& route, nanoseconds work) {
         auto const moving_average = [](nanoseconds mean, nanoseconds sample) {
             return mean + fraction_of(sample - mean, service_time_weight);
         };
         auto& times = this->service_times[route];
         if (times.is_measured) {
-            times.deviation =
-                moving_average(times.deviation, std::chrono::abs(elapsed - times.mean));
-            times.mean = moving_average(times.mean, elapsed);
+            times.deviation = moving_average(times.deviation, std::chrono::abs(work - times.mean));
+            times.mean = moving_average(times.mean, work);
         } else {
-            times = {elapsed, nanoseconds(0), true};
+            times = {work, nanoseconds(0), true};
         }
         this->overall_mean =
-            this->overall_mean.count() == 0 ? elapsed : moving_average(this->overall_mean, elapsed);
+            this->overall_mean.count() == 0 ? work : moving_average(this->overall_mean, work);
     }
 
     // Predicted starts of the next requests: each takes the slot that becomes free first, and
@@ -232,8 +244,8 @@
         start_forecast forecast;
         forecast.pacer = this->pacer;
         for (auto const& [id, request] : this->running) {
-            auto const mean = this->mean_service_time(request.route);
-            auto const elapsed = now - request.started;
+            auto const mean = this->mean_service_time(request.route, now);
+            auto const elapsed = this->elapsed_at_pace(request, now);
             forecast.releases.push(
                 now + std::max({mean - elapsed, fraction_of(mean, min_remaining_fraction),
                                 fraction_of(elapsed, overrun_remaining_fraction)}));
@@ -264,7 +276,7 @@
                 break;
             }
             forecast.reserve_start(forecast.next_start(now),
-                                   this->mean_service_time(this->queue[entry.position].route));
+                                   this->mean_service_time(this->queue[entry.position].route, now));
         }
         return {forecast.next_start(now), is_reserved};
     }
@@ -276,7 +288,7 @@
     // Minimum time between the start of a request and its deadline; with less, the request is
     // refused.
     nanoseconds required_time(gate_request const& request, boot_time now) const {
-        return std::min(this->conservative_service_time(request.route),
+        return std::min(this->conservative_service_time(request.route, now),
                         fraction_of(request.deadline - now, mean_exempt_fraction));
     }
 
@@ -288,12 +300,13 @@
     // Whether a new request that starts at the given time would be answered after its limit.
     bool misses_limit(gate_request const& request, boot_time start, boot_time now) const {
         return request.finish_by < request.deadline
-                   ? start + this->conservative_service_time(request.route) > request.finish_by
+                   ? start + this->conservative_service_time(request.route, now) > request.finish_by
                    : this->misses_deadline(request, start, now);
     }
 
     void start(gate_request const& request, boot_time now) {
-        this->running.emplace(request.id, running_request{request.route, now});
+        this->running.emplace(request.id,
+                              running_request{request.route, now, this->pace.work_at(now)});
         this->pacer.start(now);
     }
 
@@ -304,18 +317,20 @@
     }
 
     // Whether the request could still be running when the node stops.
-    bool may_outlast_stop(gate_request const& request, boot_time start) const {
+    bool may_outlast_stop(gate_request const& request, boot_time start, boot_time now) const {
         return this->stop_at &&
-               start + this->conservative_service_time(request.route) * stop_safety_factor >
+               start + this->conservative_service_time(request.route, now) * stop_safety_factor >
                    *this->stop_at;
     }
 
     unsigned slots = 0;
     request_pacer pacer;
+    pace_clock pace;
     std::optional<boot_time> stop_at;
     std::vector<gate_request> queue;
     std::unordered_map<std::uint64_t, running_request> running;
     route_usage finished_usage;
+    /// In work, which is time at the usual pace.
     std::map<std::string, route_service_times, std::less<>> service_times;
     nanoseconds overall_mean{0};
 };
@@ -332,6 +347,14 @@
     this->self->pacer.set_rate(requests_per_second, now);
 }
 
+void gate_queue::set_pace(double pace, boot_time now) {
+    this->self->pace.set(pace, now);
+}
+
+void gate_queue::reset_pace(boot_time now) {
+    this->self->pace.reset(now);
+}
+
 void gate_queue::set_stop_time(boot_time at) {
     this->self->stop_at = at;
 }
@@ -345,7 +368,7 @@
     if (now >= request.deadline) {
         return gate_refusal{result_code::request_deadline_exceeded, {}};
     }
-    if (impl.may_outlast_stop(request, now)) {
+    if (impl.may_outlast_stop(request, now, now)) {
         return gate_refusal{result_code::request_draining, min_retry_after};
     }
     if (impl.queue.empty() && impl.can_start(now)) {
@@ -368,12 +391,14 @@
     if (found == this->self->running.end()) {
         return;
     }
-    auto const& [route, started] = found->second;
+    auto const& [route, started, started_work] = found->second;
     auto const elapsed = now - started;
+    auto const work = this->self->pace.work_at(now) - started_work;
     bool const exceeds_mean =
-        result != outcome::succeeded && elapsed > this->self->mean_service_time(route);
+        result != outcome::succeeded &&
+        this->self->pace.time_for(work, now) > this->self->mean_service_time(route, now);
     if (result == outcome::succeeded || exceeds_mean) {
-        this->self->record_service_time(route, elapsed);
+        this->self->record_service_time(route, work);
     }
     this->self->finished_usage.decay(now);
     this->self->finished_usage.add(route, elapsed);
@@ -399,7 +424,7 @@
     for (auto const& entry : impl.service_order(now)) {
         auto& waiting = impl.queue[entry.position];
         auto const start = forecast.next_start(now);
-        if (impl.may_outlast_stop(waiting, start)) {
+        if (impl.may_outlast_stop(waiting, start, now)) {
             dequeued.refused.emplace_back(
                 waiting.id, gate_refusal{result_code::request_draining, min_retry_after});
             continue;
@@ -409,7 +434,7 @@
                                           implementation::overload_refusal(start - now));
             continue;
         }
-        forecast.reserve_start(start, impl.mean_service_time(waiting.route));
+        forecast.reserve_start(start, impl.mean_service_time(waiting.route, now));
         if (impl.can_start(now)) {
             impl.start(waiting, now);
             dequeued.started.push_back(waiting.id);
@@ -440,11 +465,13 @@
     current.in_use = static_cast<unsigned>(impl.running.size());
     current.waiting = static_cast<unsigned>(impl.queue.size());
     current.slots = impl.slots;
+    current.pace = impl.pace.pace(now);
     current.service_time = to_milliseconds(impl.observed_service_time(route, now));
     if (impl.slots > 0 && !impl.can_start(now)) {
         auto forecast = impl.forecast_starts(now);
         for (auto const& waiting : impl.queue) {
-            forecast.reserve_start(forecast.next_start(now), impl.mean_service_time(waiting.route));
+            forecast.reserve_start(forecast.next_start(now),
+                                   impl.mean_service_time(waiting.route, now));
         }
         current.expected_wait = to_milliseconds(forecast.next_start(now) - now);
     }
--- a/libraries/mesh/gate_queue.h
+++ b/libraries/mesh/gate_queue.h
@@ -44,6 +44,15 @@
     /// Sets the number of requests per second that the target accepts; no value removes the limit.
     void set_rate_limit(std::optional<double> requests_per_second, boot_time now);
 
+    /// Sets the present pace of work on the target's instance; 1 is usual, which also holds until
+    /// the first call. Service times are measured in work at the usual pace, so that a change of
+    /// the pace is in the forecast at once and not only after several slow responses.
+    void set_pace(double pace, boot_time now);
+
+    /// Forgets the pace and the work that was measured with it, for example when the target is
+    /// replaced.
+    void reset_pace(boot_time now);
+
     /// Sets the time at which the node stops. Requests that may run beyond it are refused from now
     /// on.
     void set_stop_time(boot_time at);
--- a/libraries/mesh/target_selector.cpp
+++ b/libraries/mesh/target_selector.cpp
@@ -1,6 +1,7 @@
 #include "mesh/target_selector.h"
 
 #include "mesh/decaying_failure_rate.h"
+#include "mesh/load_estimate.h"
 
 #include <algorithm>
 #include <cmath>
@@ -37,6 +38,12 @@
 constexpr double utilization_threshold = 0.6;
 // Random spread that keeps nodes with the same observations from choosing the same member.
 constexpr milliseconds jitter{5};
+// The constants for targets that state their pace; the best of those tried in benchmarks/placement.
+// Cost already contains that a fast target may be full, so speed counts for more.
+constexpr double paced_slowness_weight = 0.6;
+// A zone with too little capacity for its callers must not refuse while another one has free slots.
+constexpr milliseconds paced_distance_penalty{80};
+constexpr milliseconds paced_jitter{15};
 
 } // namespace
 
@@ -45,6 +52,7 @@
     struct member_state {
         unsigned in_flight = 0;
         gate_load load;
+        load_estimate estimate;
         boot_time load_reported_at;
         boot_time paused_until;
         boot_time busy_until;
@@ -54,6 +62,8 @@
         struct service_time {
             milliseconds mean{0};
             boot_time reported_at;
+            /// Pace of the target at that time; 1 if it stated none.
+            double pace = 1;
         };
         std::unordered_map<std::string, service_time> service_times;
 
@@ -92,13 +102,18 @@
     };
 
     // Returns no value while the service time of the target for the route is unknown.
-    static std::optional<expected_time> find_expected_time(member_state const& state,
-                                                           std::string const& route) {
+    static std::optional<expected_time>
+    find_expected_time(member_state const& state, std::string const& route, boot_time now) {
         auto const found = state.service_times.find(route);
         if (found == state.service_times.end()) {
             return std::nullopt;
         }
         std::chrono::duration<double, std::nano> const mean = found->second.mean;
+        if (state.estimate.has_pace()) {
+            auto const scale = found->second.pace / state.estimate.pace(now);
+            auto const time = std::chrono::duration_cast<nanoseconds>(mean * scale);
+            return expected_time{time, found->second.reported_at};
+        }
         auto const time = std::chrono::duration_cast<nanoseconds>(mean * (1 + state.congestion()));
         return expected_time{time, found->second.reported_at};
     }
@@ -119,11 +134,11 @@
     };
 
     candidate_evaluation evaluate(std::vector<member const*> const& candidates,
-                                  std::string const& route) {
+                                  std::string const& route, boot_time now) {
         candidate_evaluation evaluation;
         for (auto const* candidate : candidates) {
             auto const& state = this->states[candidate->instance];
-            auto const expected = find_expected_time(state, route);
+            auto const expected = find_expected_time(state, route, now);
             bool const is_local = this->is_local(*candidate);
             if (expected) {
                 auto& fastest = is_local ? evaluation.fastest_local : evaluation.fastest_remote;
@@ -137,22 +152,25 @@
     // By how much the target is slower than the fastest one; zero while its service time is
     // unknown.
     static nanoseconds slowness(std::optional<expected_time> const& expected, nanoseconds fastest,
-                                boot_time now) {
+                                bool has_pace, boot_time now) {
         if (!expected) {
             return nanoseconds(0);
         }
         std::chrono::duration<double> const age = now - expected->reported_at;
         std::chrono::duration<double> const excess = expected->time - fastest;
         auto const remaining = excess * std::exp2(-age / slowness_half_life);
-        return std::chrono::duration_cast<nanoseconds>(remaining * slowness_weight);
+        return std::chrono::duration_cast<nanoseconds>(
+            remaining * (has_pace ? paced_slowness_weight : slowness_weight));
     }
 
-    nanoseconds cost(member const& candidate, nanoseconds slowness, boot_time now,
-                     random_source& random) {
+    nanoseconds cost(member const& candidate, nanoseconds slowness, double utilization,
+                     boot_time now, random_source& random) {
         auto& state = this->states[candidate.instance];
-        auto cost = this->expected_wait(state, candidate.target.slots, now) + slowness;
+        bool const is_paced = state.estimate.has_pace();
+        auto cost = slowness + (is_paced ? state.estimate.cost(state.in_flight, utilization, now)
+                                         : this->expected_wait(state, candidate.target.slots, now));
         if (!this->is_local(candidate)) {
-            cost += distance_penalty;
+            cost += is_paced ? paced_distance_penalty : distance_penalty;
         }
         auto const failure_rate = state.failures.at(now);
         if (failure_rate > tolerated_failure_rate) {
@@ -163,7 +181,20 @@
         // Breaks ties in favor of the member with fewer requests in flight.
         cost += milliseconds(state.in_flight);
         return cost + nanoseconds(std::uniform_int_distribution<std::int64_t>(
-                          0, nanoseconds(jitter).count())(random));
+                          0, nanoseconds(is_paced ? paced_jitter : jitter).count())(random));
+    }
+
+    // Utilization of the members that state a pace, by their last reports.
+    static double usual_utilization(candidate_evaluation const& evaluation) {
+        double sum = 0;
+        unsigned count = 0;
+        for (auto const& entry : evaluation.candidates) {
+            if (entry.state.estimate.has_pace()) {
+                sum += entry.state.estimate.reported_utilization();
+                ++count;
+            }
+        }
+        return count == 0 ? 0 : sum / count;
     }
 
     std::string availability_zone;
@@ -180,7 +211,8 @@
                                                      attempt_history const& history, boot_time now,
                                                      random_source& random) {
     auto& impl = *this->self;
-    auto const evaluation = impl.evaluate(candidates, route);
+    auto const evaluation = impl.evaluate(candidates, route, now);
+    double const utilization = implementation::usual_utilization(evaluation);
     struct option {
         member const* candidate;
         nanoseconds cost;
@@ -204,8 +236,10 @@
         // Service times are compared only within the local zone or among the other zones, so that
         // speed alone never moves requests to another zone.
         auto const fastest = is_local ? evaluation.fastest_local : evaluation.fastest_remote;
-        auto const slowness = implementation::slowness(expected, fastest, now);
-        options.push_back({candidate, impl.cost(*candidate, slowness, now, random), is_busy});
+        auto const slowness =
+            implementation::slowness(expected, fastest, state.estimate.has_pace(), now);
+        options.push_back(
+            {candidate, impl.cost(*candidate, slowness, utilization, now, random), is_busy});
     }
     std::ranges::sort(options, {}, &option::cost);
     for (auto const& [candidate, cost, is_busy] : options) {
@@ -261,17 +295,19 @@
                                    gate_load const& load, boot_time now) {
     auto& state = this->self->states[instance];
     state.load = load;
+    state.estimate.observe(load, state.in_flight, now);
     state.load_reported_at = now;
     state.failures.set(load.failure_rate, now);
     if (load.service_time.count() > 0) {
-        state.service_times[route] = {load.service_time, now};
+        state.service_times[route] = {load.service_time, now, load.pace.value_or(1)};
     }
 }
 
 void target_selector::observe_unanswered(std::string const& instance, std::string const& route,
                                          milliseconds waited, boot_time now) {
-    auto& times = this->self->states[instance].service_times[route];
-    times = {std::max(times.mean, waited), now};
+    auto& state = this->self->states[instance];
+    auto& times = state.service_times[route];
+    times = {std::max(times.mean, waited), now, state.estimate.pace(now)};
 }
 
 } // namespace peridot
--- a/libraries/mesh/target_selector.h
+++ b/libraries/mesh/target_selector.h
@@ -25,6 +25,10 @@
 /// Members are first required to respond within the target latency. Only if none can, the one with
 /// the shortest wait is required to respond by the deadline.
 ///
+/// Targets that state their pace are compared by load_estimate instead, which answers many nodes
+/// that choose at the same moment by old reports, and short slowdowns. Without a pace nothing
+/// changes.
+///
 /// Not thread-safe. The current time and the random source are passed as arguments.
 class target_selector {
 public:
