sidecar: report the pace of targets between nodes

Targets state the pace of work on their instance as the fourth figure of X-Server-Load. The gate keeps the newest one, logs it with refusals and shows it as peridot_gate_target_pace_percent; the state of a node carries it as an eleventh field with a mark. Without a pace the state has ten fields as before. A node of an earlier version does not read the state with a pace; the outcome of the request still holds.

--- a/libraries/sidecar/hop_message.cpp
+++ b/libraries/sidecar/hop_message.cpp
@@ -31,6 +31,11 @@
 constexpr std::size_t code_field = 1;
 constexpr std::size_t retry_after_field = 2;
 constexpr std::size_t state_field_count = 10;
+// The pace in percent follows as a further field if the target states one. Its mark distinguishes
+// it from a field that a later version may add.
+constexpr std::size_t paced_state_field_count = state_field_count + 1;
+constexpr char pace_mark = 'p';
+constexpr unsigned max_pace_percent = 10'000;
 constexpr double percent = 100;
 // The longest time that the platform's records can state.
 constexpr milliseconds max_time{std::chrono::hours(24)};
@@ -151,10 +156,26 @@
     return read.value_or(milliseconds(0));
 }
 
+std::optional<double> parse_pace(std::string_view text) {
+    if (!text.starts_with(pace_mark)) {
+        return std::nullopt;
+    }
+    auto const read = parse_number<unsigned>(text.substr(1));
+    if (!read || *read == 0 || *read > max_pace_percent) {
+        return std::nullopt;
+    }
+    return *read / percent;
+}
+
 // Returns no value if a field is missing or malformed: the outcome of the request does not depend
 // on the state that is attached to it.
 std::optional<hop_state> read_state(std::vector<std::string_view> const& parts) {
-    if (parts.size() != state_field_count) {
+    bool const has_pace = parts.size() == paced_state_field_count;
+    if (parts.size() != state_field_count && !has_pace) {
+        return std::nullopt;
+    }
+    auto const pace = has_pace ? parse_pace(parts[state_field_count]) : std::nullopt;
+    if (has_pace && !pace) {
         return std::nullopt;
     }
     auto const in_use = parse_number<unsigned>(parts[3]);
@@ -171,6 +192,7 @@
     hop_state state;
     state.load = {*in_use,        *waiting,      *slots,
                   *expected_wait, *service_time, static_cast<double>(*failures) / percent};
+    state.load.pace = pace;
     state.configuration = *configuration;
     return state;
 }
@@ -267,6 +289,10 @@
     text += ";" + to_text(load.service_time);
     text += ";" + std::to_string(failure_percent);
     text += ";" + std::to_string(state.configuration);
+    if (load.pace) {
+        auto const pace_percent = std::clamp<double>(*load.pace * percent, 1, max_pace_percent);
+        text += std::string(";") + pace_mark + std::to_string(std::lround(pace_percent));
+    }
     parts.message.headers.set(state_header, text);
     return std::move(parts.message);
 }
--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -56,6 +56,9 @@
     , gate_target_cold(registry.register_gauge(
           "peridot_gate_target_cold",
           "Whether the gate limits the rate of requests because the target is cold."))
+    , gate_target_pace(registry.register_gauge(
+          "peridot_gate_target_pace_percent",
+          "Pace of work that the target stated last, in percent of the usual one; 0 if none."))
     , target_awaited(registry.register_gauge(
           "peridot_target_awaited",
           "Whether a recorded target has not announced itself since the node's start."))
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -29,6 +29,7 @@
     gauge& gate_version_blocked;
     gauge& gate_zone_evacuated;
     gauge& gate_target_cold;
+    gauge& gate_target_pace;
     gauge& target_awaited;
     gauge& unfit_to_steer;
     gauge& configuration_version;
--- a/libraries/sidecar/target_gate.cpp
+++ b/libraries/sidecar/target_gate.cpp
@@ -24,6 +24,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <unordered_map>
 
 namespace peridot {
@@ -40,6 +41,9 @@
 constexpr unsigned first_failure_status = 500;
 // Percentage of the target's slots in use when all of them are.
 constexpr unsigned full_pressure = 100;
+constexpr double percent = 100;
+// Limits the gauge; a target may state any number.
+constexpr double max_stated_pace = 100;
 
 } // namespace
 
@@ -137,6 +141,8 @@
             this->warming = {};
             this->warming.set_cold_rate(this->cold_rate);
             this->warming.presume_cold();
+            this->queue.reset_pace(boot_clock::now());
+            this->metrics.gate_target_pace.set(0);
             this->update_rate_limit(boot_clock::now());
         }
         this->target = next;
@@ -443,6 +449,12 @@
             this->has_notice = true;
             this->apply_notice(*observed);
         }
+        auto const pace = read_target_pace(answer);
+        if (pace && this->is_current_target(call)) {
+            this->queue.set_pace(*pace, boot_clock::now());
+            this->metrics.gate_target_pace.set(
+                std::lround(std::min(*pace, max_stated_pace) * percent));
+        }
     }
 
     void apply_notice(target_notice const& next) {
@@ -486,6 +498,7 @@
                     {"expected_wait_ms", current.expected_wait.count()},
                     {"own_wait_ms", refused.expected_wait.count()},
                     {"service_time_ms", current.service_time.count()},
+                    {"pace_percent", std::lround(current.pace.value_or(1) * percent)},
                     {"soft_deadline_ms", time_left_ms(call.soft_deadline)},
                     {"finish_by_ms", time_left_ms(call.finish_by)},
                     {"deadline_ms", time_left_ms(call.deadline)},
--- a/tests/adapter/messages_test.cpp
+++ b/tests/adapter/messages_test.cpp
@@ -74,6 +74,22 @@
     CHECK_FALSE(read_target_notice(answer(421, {{"Server-Limit", "1"}})).has_value());
 }
 
+// Guards against a pace that is overlooked, and against one that is read from a malformed field,
+// from a target that states none, or from a different target at the same address.
+TEST(messages, target_states_its_pace) {
+    auto const pace_in = [](std::string const& text) {
+        return read_target_pace(answer(200, {{"X-Server-Load", text}}));
+    };
+    DOUBLES_EQUAL(0.4, pace_in("6,1,6,40").value(), 1e-9);
+    DOUBLES_EQUAL(1.25, pace_in("0,0,12,125").value(), 1e-9);
+    for (char const* text : {"", "6,1,6", "6,1,6,", "6,1,6,x", "6,1,6,0", "6,1,6,-40", "6,1,6,inf",
+                             "6,1,6,nan", "6,1,6,40,1", "40"}) {
+        CHECK_FALSE(pace_in(text).has_value());
+    }
+    CHECK_FALSE(read_target_pace(answer(200, {})).has_value());
+    CHECK_FALSE(read_target_pace(answer(421, {{"X-Server-Load", "6,1,6,40"}})).has_value());
+}
+
 // Guards against a target that leaves unnoticed because it only states so in its responses.
 TEST(messages, target_states_its_leaving) {
     CHECK(read_target_notice(answer(200, {{"Server-Leaving", "1"}}))->is_leaving);
--- a/tests/sidecar/hop_message_test.cpp
+++ b/tests/sidecar/hop_message_test.cpp
@@ -98,6 +98,32 @@
     }
 }
 
+// Guards against a pace that is lost between nodes, and against a changed form of the state where
+// targets state none: nodes of earlier versions read exactly ten fields.
+TEST(hop_message, pace_of_the_target_arrives) {
+    hop_state state;
+    state.load.slots = 6;
+    state.configuration = 7;
+    auto answer = write_hop_answer(gate_ran{{200, {}, "body"}}, state);
+    STRCMP_EQUAL("0;0;0;0;0;6;0;0;0;7", std::string(answer.headers.value("Peridot-State")).c_str());
+    CHECK_FALSE(extract_hop_answer(std::move(answer)).state->load.pace.has_value());
+    for (double const pace : {0.1, 0.4, 1.0, 4.0}) {
+        state.load.pace = pace;
+        auto const read = extract_hop_answer(write_hop_answer(gate_ran{{200, {}, "body"}}, state));
+        CHECK(read.state.has_value());
+        DOUBLES_EQUAL(pace, read.state->load.pace.value(), 1e-9);
+        UNSIGNED_LONGS_EQUAL(6, read.state->load.slots);
+        CHECK(read.state->configuration == 7);
+    }
+    for (std::string const odd : {"p0", "p", "px", "p-1", "p99999", "40"}) {
+        auto malformed = write_hop_answer(gate_ran{{200, {}, "body"}}, state);
+        malformed.headers.set("Peridot-State", "0;0;0;0;0;6;0;0;0;7;" + odd);
+        auto const read = extract_hop_answer(std::move(malformed));
+        CHECK(std::holds_alternative<gate_ran>(read.answer));
+        CHECK_FALSE(read.state.has_value());
+    }
+}
+
 // Guards against a workspace that is lost between nodes, or taken from a caller's own field.
 TEST(hop_message, workspace_of_the_call_arrives) {
     http_request request;
