--- a/libraries/sidecar/sidecar_metrics.cpp
+++ b/libraries/sidecar/sidecar_metrics.cpp
@@ -67,6 +67,9 @@
     , link_backlog(registry.register_gauge(
           "peridot_link_backlog_milliseconds",
           "Time that the instance's link takes for the responses that it has to transmit."))
+    , gate_target_pace(registry.register_gauge(
+          "peridot_gate_target_pace_percent",
+          "Pace of work that the target stated last, in percent of the usual one; 0 if none."))
     , target_awaited(registry.register_gauge(
           "peridot_target_awaited",
           "Whether a recorded target has not announced itself since the node's start."))
--- a/libraries/sidecar/sidecar_metrics.h
+++ b/libraries/sidecar/sidecar_metrics.h
@@ -33,6 +33,7 @@
     gauge& gate_zone_evacuated;
     gauge& gate_target_cold;
     gauge& link_backlog;
+    gauge& gate_target_pace;
     gauge& target_awaited;
     gauge& unfit_to_steer;
     gauge& configuration_version;
