--- a/tests/fuzz/http_parser_fuzz.cpp
+++ b/tests/fuzz/http_parser_fuzz.cpp
@@ -68,6 +68,8 @@
 } // namespace
 
 // The first byte selects request or response, the second one the size of the pieces.
+// libFuzzer prescribes the name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size) {
     std::span<std::uint8_t const> const input(data, size);
     if (input.size() < 2) {
