quotas: answer nodes whose target has left

Such a node is lent tokens now; only its delegation is left out. A changed quota is logged.

Test quota_agent.node_without_a_member_record_gets_an_answer fails without the change.

--- a/libraries/sidecar/quota_agent.cpp
+++ b/libraries/sidecar/quota_agent.cpp
@@ -215,6 +215,7 @@
             if (each.has_quota()) {
                 auto const key = quota_key_of(each.name);
                 terms[index_of(key)][key] = {each.rate_per_second, each.burst + this->extra_burst};
+                this->log_change(each);
             }
         }
         bool const has_quotas =
@@ -229,6 +230,19 @@
         }
     }
 
+    // The first quotas are part of the first configuration and are not logged one by one.
+    void log_change(workspace const& next) {
+        auto& known = this->quotas[next.name];
+        bool const is_changed = known.has_quota() && known != next;
+        known = next;
+        if (is_changed) {
+            log::write(log::level::info, "quota_changed",
+                       {{"workspace", next.name},
+                        {"requests_per_second", next.rate_per_second},
+                        {"burst", next.burst}});
+        }
+    }
+
     // A configuration may end the quota of a workspace whose requests wait for tokens.
     static void admit_without_quota(pool_state& pool) {
         for (auto* each : pool.waiters) {
@@ -439,10 +453,16 @@
             return;
         }
         auto const now = boot_clock::now();
-        // A share of a node that is not counted would raise the sum above the quota.
-        if (this->known_nodes.contains(value(message).instance) && !this->is_delayed(now)) {
-            this->send(this->lend(value(message), now), sender);
+        if (this->is_delayed(now)) {
+            return;
+        }
+        auto request = value(message);
+        // A node whose target has left still serves its callers, but owns no share: counting one
+        // would raise the sum of the shares above the quota.
+        if (!this->known_nodes.contains(request.instance)) {
+            request.delegated = milliseconds(0);
         }
+        this->send(this->lend(request, now), sender);
     }
 
     quota_message lend(quota_message const& request, boot_time now) {
@@ -511,6 +531,8 @@
     std::uint64_t last_sequence;
     std::array<pool_state, pool_count> pools;
     std::shared_ptr<mesh_configuration const> configuration;
+    /// The quotas in force, by workspace.
+    std::map<std::string, workspace> quotas;
     std::set<std::string> known_nodes;
     unsigned node_count = 0;
     boot_time last_tick;
--- a/tests/sidecar/quota_agent_test.cpp
+++ b/tests/sidecar/quota_agent_test.cpp
@@ -1,6 +1,8 @@
 #include "mesh/configuration_content.h"
 #include "mesh/mesh_configuration.h"
+#include "observability/gauge.h"
 #include "observability/metric_registry.h"
+#include "quotas/quota_message.h"
 #include "sidecar/quota_agent.h"
 #include "sidecar/sidecar_metrics.h"
 
@@ -8,7 +10,9 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/udp.hpp>
 
+#include <array>
 #include <optional>
 
 using namespace peridot;
@@ -100,3 +104,32 @@
     acquire();
     CHECK_FALSE(decision.has_value());
 }
+
+// Guards against nodes whose target has left, and that still serve callers, being refused every
+// request of a workspace with a quota: their questions were not answered.
+TEST(quota_agent, node_without_a_member_record_gets_an_answer) {
+    using udp = asio::ip::udp;
+    udp::socket asker(context, udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    udp::socket reserved(context, udp::endpoint(asio::ip::make_address("127.0.0.2"), 0));
+    auto const lender_address = reserved.local_endpoint();
+    reserved.close();
+    quota_agent lender(context, "lender", {"127.0.0.2", lender_address.port()}, 0, views, metrics);
+    CHECK(is_ok(lender.listen()));
+    lender.view_changed();
+    quota_message const question{"unknown", 7, 0, milliseconds(600), false, {}};
+    asker.send_to(asio::buffer(encode_quota_message(question)), lender_address);
+    std::array<char, 2048> buffer{};
+    std::optional<std::size_t> received;
+    asker.async_receive(asio::buffer(buffer),
+                        [&](boost::system::error_code, std::size_t size) { received = size; });
+    auto const limit = std::chrono::steady_clock::now() + seconds(10);
+    while (!received && std::chrono::steady_clock::now() < limit) {
+        context.run_one_until(limit);
+    }
+    CHECK(received.has_value());
+    auto const answer = decode_quota_message({buffer.data(), *received});
+    CHECK(is_ok(answer));
+    CHECK(value(answer).is_answer);
+    CHECK(value(answer).sequence == 7);
+    LONGS_EQUAL(0, metrics.quota_share_lent.value());
+}
