--- a/tests/sidecar/quota_agent_test.cpp
+++ b/tests/sidecar/quota_agent_test.cpp
@@ -57,11 +57,11 @@
 
     void acquire() {
         this->decision.reset();
-        asio::co_spawn(this->context, this->agent.acquire("bakery"),
-                       asio::bind_cancellation_slot(
-                           this->leaving.slot(), [this](std::exception_ptr const&, quota_decision made) {
-                               this->decision = made;
-                           }));
+        asio::co_spawn(
+            this->context, this->agent.acquire("bakery"),
+            asio::bind_cancellation_slot(
+                this->leaving.slot(),
+                [this](std::exception_ptr const&, quota_decision made) { this->decision = made; }));
         this->context.poll();
     }
 
