--- a/benchmarks/overload/event_queue.h
+++ b/benchmarks/event_queue.h
@@ -8,13 +8,14 @@
 #include <utility>
 #include <vector>
 
-namespace peridot::overload {
+namespace peridot {
 
 /// A queue of discrete events with a simulated clock. Events scheduled for the same time run in the
-/// order in which they were added.
+/// order in which they were added. `Time` is the time point of the clock that the model uses.
+template<typename Time>
 class event_queue {
 public:
-    steady_time now() const { return this->time; }
+    Time now() const { return this->time; }
 
     void add(nanoseconds delay, std::function<void()> action) {
         this->events.push({this->time + delay, this->next++, std::move(action)});
@@ -32,8 +33,8 @@
 
 private:
     struct event {
-        steady_time at;
-        std::uint64_t order;
+        Time at{};
+        std::uint64_t order = 0;
         std::function<void()> action;
 
         bool operator<(event const& other) const {
@@ -41,9 +42,9 @@
         }
     };
 
-    steady_time time{std::chrono::hours(1)};
+    Time time{std::chrono::hours(1)};
     std::uint64_t next = 0;
     std::priority_queue<event> events;
 };
 
-} // namespace peridot::overload
+} // namespace peridot
--- a/benchmarks/overload/simulation.cpp
+++ b/benchmarks/overload/simulation.cpp
@@ -1,6 +1,6 @@
 #include "scenario.h"
 
-#include "event_queue.h"
+#include "../event_queue.h"
 
 #include "admission/admission_controller.h"
 #include "routing/endpoint_selector.h"
@@ -65,7 +65,7 @@
 
     scenario settings;
     model_sizes sizes;
-    event_queue events;
+    event_queue<steady_time> events;
     random_source random;
     steady_time begin;
     steady_time stop;
--- a/benchmarks/placement/simulation.cpp
+++ b/benchmarks/placement/simulation.cpp
@@ -1,6 +1,6 @@
 #include "scenario.h"
 
-#include "event_queue.h"
+#include "../event_queue.h"
 #include "policy.h"
 
 #include "mesh/gate_queue.h"
@@ -447,7 +447,7 @@
     }
 
     scenario settings;
-    event_queue events;
+    event_queue<boot_time> events;
     // Separate, so that all strategies get the same load.
     random_source load_random;
     random_source slow_random;
