sidecar: believe a heartbeat only once the node's record has been read

Cause: a restarted node had nothing to compare a heartbeat with, believed one from before the leaving, and wrote its record "ready" over "gone". Once a target was in use, the record was not looked at any more. Evidence: processes_sidecar.late_heartbeat, in which the row in the store changes from gone to ready on the code before; the other nodes answer 503 until then, so they are not the cause.

A target in service is now used only once the record has been read, or is known not to exist; a leaving takes effect at once. The record is merged whenever it changes: a leaving holds for the same process of the target, a target that started later is used. A heartbeat from before the read does not confirm a record of a ready target, since the store may not have taken the leaving. leaving_stage, which stood in member_history, is shared.

The test group target_tracker now starts from a node that has no record, since an announcement waits for that; its checks are unchanged.

--- a/libraries/mesh/member_history.cpp
+++ b/libraries/mesh/member_history.cpp
@@ -12,20 +12,6 @@
 // Records that are not in the store's copy were written after all that are in it.
 constexpr auto after_copy = std::numeric_limits<std::uint64_t>::max();
 
-// How far a target has come in leaving.
-int leaving_stage(target_state state) {
-    switch (state) {
-    case target_state::ready:
-    case target_state::unreachable:
-        return 0;
-    case target_state::draining:
-        return 1;
-    case target_state::gone:
-        return 2;
-    }
-    return 0;
-}
-
 // Whether the record is later in the life of the instance's targets than the other one.
 bool is_later(target_record const& record, target_record const& other) {
     if (is_same_process(record, other)) {
--- a/libraries/mesh/target_state.cpp
+++ b/libraries/mesh/target_state.cpp
@@ -2,6 +2,19 @@
 
 namespace peridot {
 
+int leaving_stage(target_state state) {
+    switch (state) {
+    case target_state::ready:
+    case target_state::unreachable:
+        return 0;
+    case target_state::draining:
+        return 1;
+    case target_state::gone:
+        return 2;
+    }
+    return 2;
+}
+
 std::string_view name(target_state state) {
     switch (state) {
     case target_state::ready:
--- a/libraries/mesh/target_tracker.cpp
+++ b/libraries/mesh/target_tracker.cpp
@@ -19,8 +19,15 @@
 target_tracker::target_tracker(std::string address, std::string service)
     : address(std::move(address)), service(std::move(service)) {}
 
+std::optional<target_record> const& target_tracker::newest() const {
+    if (this->deferred) {
+        return this->deferred;
+    }
+    return this->latest ? this->latest : this->unconfirmed;
+}
+
 bool target_tracker::is_older(target_record const& announced) const {
-    auto const& known = this->latest ? this->latest : this->unconfirmed;
+    auto const& known = this->newest();
     if (!known) {
         return false;
     }
@@ -51,18 +58,34 @@
         this->is_deregistered(announced)) {
         next.state = target_state::gone;
     }
+    if (!this->is_record_known && is_in_service(next.state)) {
+        this->deferred = std::move(next);
+        return target_change::deferred;
+    }
+    return this->use(std::move(next));
+}
+
+target_change target_tracker::use(target_record next) {
     this->unconfirmed.reset();
+    this->deferred.reset();
     bool const is_changed = !this->latest || differs(*this->latest, next);
     this->latest = std::move(next);
     return is_changed ? target_change::updated : target_change::none;
 }
 
+target_change target_tracker::use_deferred() {
+    return this->deferred ? this->use(*this->deferred) : target_change::ignored;
+}
+
 target_change target_tracker::deregister(std::string_view id,
                                          std::optional<std::int64_t> started_ms) {
     this->deregistrations.push_back({std::string(id), started_ms});
     if (this->deregistrations.size() > max_deregistrations) {
         this->deregistrations.pop_front();
     }
+    if (this->deferred && this->is_deregistered(*this->deferred)) {
+        this->use_deferred();
+    }
     if (this->unconfirmed && this->is_deregistered(*this->unconfirmed)) {
         this->latest = std::move(this->unconfirmed);
         this->unconfirmed.reset();
@@ -90,21 +113,53 @@
 }
 
 target_change target_tracker::restore(target_record const& recorded) {
-    if (this->latest || recorded.service != this->service) {
-        return target_change::ignored;
+    if (recorded.service != this->service) {
+        return this->confirm_unrecorded();
     }
+    this->is_record_known = true;
     target_record restored = recorded;
     restored.address = this->address;
     if (this->is_deregistered(recorded)) {
         restored.state = target_state::gone;
     }
-    if (is_in_service(restored.state)) {
-        this->unconfirmed = std::move(restored);
-        return target_change::none;
+    return this->deferred || this->latest ? this->merge(restored)
+                                          : this->await_or_use(std::move(restored));
+}
+
+target_change target_tracker::merge(target_record const& restored) {
+    auto const& announced = *this->newest();
+    if (restored.started_ms > announced.started_ms) {
+        return this->await_or_use(restored);
     }
-    this->latest = std::move(restored);
-    this->unconfirmed.reset();
-    return target_change::updated;
+    if (this->deferred && is_same_process(restored, announced) && is_in_service(restored.state)) {
+        target_record next = restored;
+        next.sequence = announced.sequence;
+        return this->await_or_use(std::move(next));
+    }
+    bool const is_further = is_same_process(restored, announced) &&
+                            leaving_stage(restored.state) > leaving_stage(announced.state);
+    if (!is_further) {
+        return this->use_deferred();
+    }
+    target_record next = announced;
+    next.state = restored.state;
+    return this->use(std::move(next));
+}
+
+target_change target_tracker::await_or_use(target_record restored) {
+    if (!is_in_service(restored.state)) {
+        return this->use(std::move(restored));
+    }
+    bool const was_in_use = this->latest.has_value();
+    this->latest.reset();
+    this->deferred.reset();
+    this->unconfirmed = std::move(restored);
+    return was_in_use ? target_change::updated : target_change::none;
+}
+
+target_change target_tracker::confirm_unrecorded() {
+    this->is_record_known = true;
+    return this->use_deferred();
 }
 
 } // namespace peridot
--- a/libraries/sidecar/fleet_sync.cpp
+++ b/libraries/sidecar/fleet_sync.cpp
@@ -206,6 +206,8 @@
         }
     }
 
+    bool has_members() const { return this->members_feed().has_snapshot(); }
+
     bool is_initial_read_over() const {
         return this->has_members() || this->is_store_unavailable();
     }
@@ -219,8 +221,8 @@
     void add_feed(std::string const& table, milliseconds changes_wait) {
         table_feed::handlers callbacks;
         callbacks.replace = [this, table](std::vector<replica_row> rows, store_revision revision) {
-            if (this->replica.replace_table(table, std::move(rows), revision) ||
-                !this->has_published) {
+            bool const is_changed = this->replica.replace_table(table, std::move(rows), revision);
+            if (is_changed || !this->has_published || this->is_members_read_unpublished()) {
                 this->publish();
             }
         };
@@ -325,7 +327,10 @@
 
     table_feed& members_feed() const { return *this->feeds.find(fleet_keys::table)->second; }
 
-    bool has_members() const { return this->members_feed().has_snapshot(); }
+    // The end of the first read is a change also if the table has no rows.
+    bool is_members_read_unpublished() const {
+        return this->has_members() && !this->has_published_members;
+    }
 
     bool is_current() const { return this->follows_store && !this->is_store_unavailable(); }
 
@@ -354,7 +359,7 @@
         for (auto const& [table, revision] : answer->covered) {
             is_changed |= this->advance(table, revision);
         }
-        if (is_changed) {
+        if (is_changed || this->is_members_read_unpublished()) {
             this->publish();
         }
         if (!answer->rows.empty()) {
@@ -500,6 +505,7 @@
         this->sources.set_members(*view);
         this->views.replace(std::move(view));
         this->has_published = true;
+        this->has_published_members = this->has_members();
         if (this->handle_change) {
             this->handle_change();
         }
@@ -523,6 +529,7 @@
     row_query_handler query_handler;
     row_writer writer;
     bool has_published = false;
+    bool has_published_members = false;
     /// The latest era that the store or another node has named.
     std::uint64_t store_era = 0;
     fallback_peer_selector search;
@@ -557,6 +564,10 @@
     return this->self->commit(std::move(rows), path);
 }
 
+bool fleet_sync::has_read_members() const {
+    return this->self->has_members();
+}
+
 bool fleet_sync::is_initial_read_over() const {
     return this->self->is_initial_read_over();
 }
--- a/libraries/sidecar/fleet_sync.h
+++ b/libraries/sidecar/fleet_sync.h
@@ -41,7 +41,7 @@
     fleet_sync(fleet_sync&&) = delete;
     fleet_sync& operator=(fleet_sync&&) = delete;
 
-    /// Called after each change of the view.
+    /// Called after each change of the view, and once the members have been read.
     void set_change_handler(std::function<void()> handler);
 
     void start();
@@ -62,6 +62,8 @@
     boost::asio::awaitable<commit_outcome> commit(std::vector<replica_row> rows, commit_path path);
 
     row_replica const& rows() const;
+    /// Whether the members have been read, from the store or from another node.
+    bool has_read_members() const;
     /// Whether the members have been read, or the store is unavailable.
     bool is_initial_read_over() const;
 
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -20,6 +20,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <utility>
 
 namespace peridot {
 
@@ -74,7 +75,8 @@
         if (*change == target_change::updated) {
             co_await this->apply_current();
         }
-        if (call->kind == target_call::purpose::heartbeat && *change != target_change::ignored) {
+        if (call->kind == target_call::purpose::heartbeat && *change != target_change::ignored &&
+            this->tracker.current()) {
             this->report_warm_up(this->tracker.current()->warm_up_remaining);
         }
         bool const is_out_of_service =
@@ -99,20 +101,12 @@
         // The source of the rows may also be able to write the record.
         this->retry.cancel();
         this->check_record();
-        auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
-        if (row == nullptr || this->tracker.current()) {
-            return;
-        }
-        auto const recorded = decode_member(row->value);
-        if (!is_ok(recorded) || value(recorded).ip != this->settings.ip) {
-            return;
-        }
-        this->set_recorded(encode_member(value(recorded)), row->revision.era);
-        bool const is_restored =
-            this->tracker.restore(value(recorded).target) == target_change::updated;
+        auto const change = this->merge_record();
         this->observe_awaited_target();
-        if (is_restored) {
-            asio::co_spawn(this->context, restore(this->shared_from_this()), asio::detached);
+        if (change == target_change::updated) {
+            asio::co_spawn(this->context, apply_merged(this->shared_from_this()), asio::detached);
+        } else if (this->is_record_outdated()) {
+            this->start_recording();
         }
     }
 
@@ -131,7 +125,7 @@
         }
         auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
         this->set_recorded(row == nullptr ? std::string() : row->value, era);
-        if (this->recorded_text != this->current_record() && !this->is_recording) {
+        if (this->is_record_outdated() && !this->is_recording) {
             log::write(log::level::info, "target_recorded_again",
                        {{"target", this->tracker.current()->id},
                         {"state", std::string(name(this->tracker.current()->state))}});
@@ -144,12 +138,30 @@
         this->recorded_era = era;
     }
 
-    static asio::awaitable<void> restore(std::shared_ptr<implementation> self) {
-        log::write(log::level::info, "target_restored",
-                   {{"target", self->tracker.current()->id},
-                    {"state", std::string(name(self->tracker.current()->state))}});
-        co_await self->apply(self->tracker.current());
-        self->start_recording();
+    // Compares the target with the node's record, which an earlier process may have written.
+    target_change merge_record() {
+        auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
+        if (row == nullptr) {
+            return this->fleet.has_read_members() ? this->tracker.confirm_unrecorded()
+                                                  : target_change::ignored;
+        }
+        if (row->revision <= this->merged_revision) {
+            return target_change::ignored;
+        }
+        this->merged_revision = row->revision;
+        auto const recorded = decode_member(row->value);
+        if (!is_ok(recorded) || value(recorded).ip != this->settings.ip) {
+            return this->tracker.confirm_unrecorded();
+        }
+        this->set_recorded(encode_member(value(recorded)), row->revision.era);
+        return this->tracker.restore(value(recorded).target);
+    }
+
+    static asio::awaitable<void> apply_merged(std::shared_ptr<implementation> self) {
+        co_await self->apply_current();
+        if (self->tracker.current()) {
+            self->report_warm_up(self->tracker.current()->warm_up_remaining);
+        }
     }
 
     // The other threads see whether the target is awaited.
@@ -177,18 +189,26 @@
         if (change != target_change::ignored) {
             this->last_announcement = boot_clock::now();
         }
+        bool const is_deferred = change == target_change::deferred;
+        if (is_deferred && !std::exchange(this->has_deferred_target, true)) {
+            log::write(log::level::info, "target_deferred",
+                       {{"target", call.target_id},
+                        {"reason", "the record of this node has not been read"}});
+        }
         return change;
     }
 
     asio::awaitable<void> apply_current() {
-        auto const& current = *this->tracker.current();
+        auto const current = this->tracker.current();
         this->observe_awaited_target();
-        log::write(log::level::info, "target_changed",
-                   {{"target", current.id},
-                    {"version", current.version},
-                    {"state", std::string(name(current.state))},
-                    {"sequence", static_cast<std::int64_t>(current.sequence)}});
-        co_await this->apply(this->tracker.current());
+        if (current) {
+            log::write(log::level::info, "target_changed",
+                       {{"target", current->id},
+                        {"version", current->version},
+                        {"state", std::string(name(current->state))},
+                        {"sequence", static_cast<std::int64_t>(current->sequence)}});
+        }
+        co_await this->apply(current);
         this->start_recording();
     }
 
@@ -212,6 +232,10 @@
         return encode_member(record);
     }
 
+    bool is_record_outdated() const {
+        return this->tracker.current() && this->recorded_text != this->current_record();
+    }
+
     // Writes the record until the store holds the latest version. The condition on the revision
     // prevents a delayed write from overwriting a newer record.
     static asio::awaitable<void> record(std::shared_ptr<implementation> self) {
@@ -222,7 +246,7 @@
         }
         // The record that an earlier process wrote may be lost.
         self->check_record();
-        while (self->recorded_text != self->current_record()) {
+        while (self->is_record_outdated()) {
             std::string const text = self->current_record();
             std::vector<replica_row> rows;
             rows.push_back({std::string(fleet_keys::table), self->key(), text,
@@ -256,8 +280,7 @@
 
     asio::awaitable<void> wait_until_recorded() {
         auto const until = std::chrono::steady_clock::now() + recording_timeout;
-        while (this->recorded_text != this->current_record() &&
-               std::chrono::steady_clock::now() < until) {
+        while (this->is_record_outdated() && std::chrono::steady_clock::now() < until) {
             co_await this->pause(recording_poll_period);
         }
     }
@@ -280,6 +303,9 @@
     warm_up_function report_warm_up;
     target_tracker tracker;
     boot_time last_announcement;
+    bool has_deferred_target = false;
+    /// Revision of the node's row that the tracker has taken into account.
+    store_revision merged_revision;
     /// The record that the store is known to hold, and the era in which it was read or written.
     std::string recorded_text;
     std::uint64_t recorded_era = 0;
--- a/libraries/sidecar/target_announcements.h
+++ b/libraries/sidecar/target_announcements.h
@@ -23,7 +23,9 @@
 /// Once a deregistration is acknowledged, it is in force on this node. It is also written to the
 /// store before the acknowledgement if the store responds in time. If it does not, the next process
 /// of the node finds an older record. It therefore uses a recorded target only after the target has
-/// announced itself again, which a target that has left does not do.
+/// announced itself again, which a target that has left does not do. A late heartbeat from before
+/// the leaving may arrive first, so a target is also used only once the node's record is known, and
+/// a record that shows a leaving is never overwritten by an announcement of the same process.
 class target_announcements {
 public:
     /// Applies a record to the gate; the awaitable completes once it is in force.
@@ -48,7 +50,7 @@
     /// if it does not announce itself either.
     void observe_state(target_record const& target);
 
-    /// Checks the replica's rows for a record written by an earlier process of this node.
+    /// Merges the node's record in the replica, which an earlier process of it may have written.
     void rows_changed();
 
     /// Whether a record of a ready target was read that the target has not confirmed since the
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -101,6 +101,11 @@
 
 TEST_GROUP(target_tracker) {
     target_tracker tracker{address, "deposits"};
+
+    // No earlier process of the node has recorded a target.
+    void setup() override {
+        this->tracker.confirm_unrecorded();
+    }
 };
 
 // Guards against late, repeated or forged announcements that restore a terminated target.
@@ -199,6 +204,92 @@
     CHECK(tracker.current()->state == target_state::gone);
 }
 
+TEST_GROUP(target_tracker_without_record) {
+    target_tracker tracker{address, "deposits"};
+};
+
+// Guards against a late heartbeat that is believed before the record is read (review/6, DRAIN), or
+// that confirms the record of a target whose leaving the store did not take.
+TEST(target_tracker_without_record, heartbeat_from_before_the_record_confirms_no_target) {
+    CHECK(tracker.announce(heartbeat("i-1", 100, 4)) == target_change::deferred);
+    CHECK_FALSE(tracker.current().has_value());
+    CHECK(tracker.announce(heartbeat("i-1", 100, 3)) == target_change::ignored);
+    CHECK(tracker.restore(heartbeat("i-1", 100, 0)) == target_change::none);
+    CHECK_FALSE(tracker.current().has_value());
+    CHECK(tracker.announce(heartbeat("i-1", 100, 3)) == target_change::ignored);
+    CHECK(tracker.announce(heartbeat("i-1", 100, 5)) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::ready);
+}
+
+// Guards against a target of a new node that is never used, since no record of it exists.
+TEST(target_tracker_without_record, heartbeat_takes_effect_if_there_is_no_record) {
+    CHECK(tracker.announce(heartbeat("i-1", 100, 4)) == target_change::deferred);
+    CHECK(tracker.confirm_unrecorded() == target_change::updated);
+    CHECK(tracker.current()->state == target_state::ready);
+    CHECK(tracker.confirm_unrecorded() == target_change::ignored);
+}
+
+// Guards against a recorded leaving that the next heartbeat undoes, in either stage.
+TEST(target_tracker_without_record, recorded_leaving_holds_for_the_same_process) {
+    for (auto const state : {target_state::draining, target_state::gone}) {
+        target_tracker restarted(address, "deposits");
+        restarted.announce(heartbeat("i-1", 100, 4));
+        CHECK(restarted.restore(heartbeat("i-1", 100, 0, state)) == target_change::updated);
+        CHECK(restarted.current()->state == state);
+        restarted.announce(heartbeat("i-1", 100, 9));
+        CHECK(restarted.current()->state == state);
+    }
+}
+
+// Guards against a target that starts anew under its id and gets nothing, since the record is one
+// of its earlier process.
+TEST(target_tracker_without_record, target_that_started_later_than_the_recorded_one_is_used) {
+    tracker.announce(heartbeat("i-1", 100, 9));
+    CHECK(tracker.announce(heartbeat("i-1", 200, 1)) == target_change::deferred);
+    CHECK(tracker.restore(heartbeat("i-1", 100, 0, target_state::gone)) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::ready);
+    LONGS_EQUAL(200, tracker.current()->started_ms);
+}
+
+// Guards against a late heartbeat of a crashed process that takes the place of the recorded one.
+TEST(target_tracker_without_record, recorded_target_that_started_later_is_awaited) {
+    tracker.announce(heartbeat("i-0", 50, 90));
+    CHECK(tracker.restore(heartbeat("i-1", 100, 0)) == target_change::none);
+    CHECK_FALSE(tracker.current().has_value());
+    STRCMP_EQUAL("i-1", tracker.awaited()->id.c_str());
+}
+
+// Guards against a leaving that waits for the record, although it has to take effect at once.
+TEST(target_tracker_without_record, leaving_takes_effect_before_the_record_is_known) {
+    tracker.announce(heartbeat("i-1", 100, 4));
+    CHECK(tracker.announce(heartbeat("i-1", 100, 5, target_state::draining)) ==
+          target_change::updated);
+    CHECK(tracker.announce(heartbeat("i-1", 100, 6)) == target_change::none);
+    CHECK(tracker.deregister("i-1", 100) == target_change::updated);
+    tracker.restore(heartbeat("i-1", 100, 0));
+    CHECK(tracker.current()->state == target_state::gone);
+}
+
+// Guards against a deregistration that is lost because the target's heartbeat was deferred.
+TEST(target_tracker_without_record, deferred_target_that_deregisters_is_gone) {
+    tracker.announce(heartbeat("i-1", 100, 4));
+    CHECK(tracker.deregister("i-1", std::nullopt) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::gone);
+}
+
+// Guards against a record that is read late, by way of a node that held older rows, and is
+// overwritten instead of merged.
+TEST(target_tracker_without_record, leaving_in_a_later_record_is_merged) {
+    tracker.restore(heartbeat("i-1", 100, 0));
+    tracker.announce(heartbeat("i-1", 100, 4));
+    CHECK(tracker.restore(heartbeat("i-1", 100, 0, target_state::gone)) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::gone);
+    CHECK(tracker.restore(heartbeat("i-2", 200, 0)) == target_change::updated);
+    CHECK_FALSE(tracker.current().has_value());
+    CHECK(tracker.announce(heartbeat("i-2", 200, 3)) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::ready);
+}
+
 TEST_GROUP(row_replica) {
     row_replica replica;
 };
--- a/tests/processes/mesh_support/mesh_target.cpp
+++ b/tests/processes/mesh_support/mesh_target.cpp
@@ -29,6 +29,7 @@
 
 constexpr milliseconds heartbeat_period{200};
 constexpr unsigned slots = 8;
+constexpr milliseconds start_time{1'700'000'000'000};
 constexpr unsigned no_fixed_status = UINT_MAX;
 constexpr std::size_t part_bytes = std::size_t{64} * 1024;
 // As large as the largest body that a node passes on by default.
@@ -133,23 +134,29 @@
         co_return std::string(part_bytes, 'x');
     }
 
+    http_request make_heartbeat(std::string const& state, std::uint64_t sequence,
+                                milliseconds started) const {
+        http_request heartbeat;
+        heartbeat.method = "POST";
+        heartbeat.target = "/instances/" + this->id + "/heartbeat";
+        json::object body;
+        body["Address"] = to_string(this->own);
+        body["Info"] = {{"Service", this->service},
+                        {"Version", this->version},
+                        {"Zone", "ariana"},
+                        {"Slots", slots}};
+        body["Status"] = {{"State", state},
+                          {"Seq", sequence},
+                          {"ColdRemainingS", this->cold_remaining.load().count()}};
+        body["born"] = started.count();
+        heartbeat.body = json::serialize(body);
+        return heartbeat;
+    }
+
     asio::awaitable<void> announce() {
         asio::steady_timer timer(this->context);
         for (std::uint64_t sequence = 1; !this->has_stopped_heartbeats; ++sequence) {
-            http_request heartbeat;
-            heartbeat.method = "POST";
-            heartbeat.target = "/instances/" + this->id + "/heartbeat";
-            json::object body;
-            body["Address"] = to_string(this->own);
-            body["Info"] = {{"Service", this->service},
-                            {"Version", this->version},
-                            {"Zone", "ariana"},
-                            {"Slots", slots}};
-            body["Status"] = {{"State", "ready"},
-                              {"Seq", sequence},
-                              {"ColdRemainingS", this->cold_remaining.load().count()}};
-            body["born"] = 1'700'000'000'000;
-            heartbeat.body = json::serialize(body);
+            auto heartbeat = this->make_heartbeat("ready", sequence, start_time);
             auto const limit = std::chrono::steady_clock::now() + seconds(1);
             co_await this->connections.exchange(this->heartbeats, std::move(heartbeat), limit);
             timer.expires_after(heartbeat_period);
@@ -237,6 +244,15 @@
     this->self->has_stopped_heartbeats = true;
 }
 
+bool mesh_target::announce(std::string const& state, std::uint64_t sequence,
+                           milliseconds started_later) {
+    http_caller caller;
+    auto const answer =
+        caller.call(this->self->heartbeats,
+                    this->self->make_heartbeat(state, sequence, start_time + started_later));
+    return answer && answer->status == 200;
+}
+
 bool mesh_target::deregister() {
     this->stop_heartbeats();
     http_request call;
--- a/tests/processes/mesh_support/mesh_target.h
+++ b/tests/processes/mesh_support/mesh_target.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -48,6 +49,10 @@
     void set_cold(seconds remaining);
     /// Stops sending heartbeats.
     void stop_heartbeats();
+    /// Sends one heartbeat with the given state and sequence number beside the regular ones, for a
+    /// process that started by the given time after this one. Returns whether it was acknowledged.
+    bool announce(std::string const& state, std::uint64_t sequence,
+                  milliseconds started_later = milliseconds(0));
     /// Deregisters the target; returns whether the call was acknowledged.
     bool deregister();
 
--- a/tests/processes/sidecar/target_restart_test.cpp
+++ b/tests/processes/sidecar/target_restart_test.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cstdint>
 #include <iostream>
 #include <string>
 
@@ -67,3 +68,142 @@
     CHECK(wait_until([&] { return status_of_call() == 200; }));
     CHECK(restarted->target->run_count() > before);
 }
+
+// A target that leaves, whose node is then restarted while the store is out. The node knows no
+// other node, so it cannot read its record before the store is back.
+TEST_GROUP(late_heartbeat) {
+    static constexpr std::uint64_t late_sequence = 1;
+    static constexpr std::uint64_t draining_sequence = 1'000'000;
+
+    sidecar_fleet fleet;
+    mesh_instance* restarted = nullptr;
+    mesh_instance* caller = nullptr;
+    int attempts = 0;
+
+    void setup() override {
+        this->fleet.configure(1);
+        this->restarted = &this->fleet.add("deposits");
+        this->caller = &this->fleet.add("plants");
+        CHECK(wait_until([&] { return this->status_of_call() == 200; }));
+    }
+
+    void teardown() override {
+        if (UtestShell::getCurrent()->hasFailed()) {
+            this->fleet.print_logs(std::cout);
+        }
+    }
+
+    unsigned status_of_call() {
+        auto const answer = this->fleet.call(*this->caller, "/pay/1",
+                                             "attempt-" + std::to_string(++this->attempts));
+        return answer ? answer->status : 0;
+    }
+
+    bool is_recorded_as(std::string const& state) {
+        auto const record = this->fleet.store().value("peridot", "member/" + this->restarted->name);
+        return record.find("\"state\":\"" + state + "\"") != std::string::npos;
+    }
+
+    void restart_node_in_outage() {
+        this->fleet.store().set_unavailable(true);
+        this->restarted->node->end();
+        this->fleet.restart(*this->restarted);
+    }
+
+    void send_late_heartbeat() {
+        CHECK(
+            wait_until([&] { return this->restarted->target->announce("ready", late_sequence); }));
+    }
+
+    void end_outage() {
+        this->fleet.store().set_unavailable(false);
+        CHECK(wait_until([&] { return this->fleet.is_ready(*this->restarted); }));
+    }
+
+    // Whether no request reaches the target until a change of the configuration, which follows the
+    // return of the store, is in force.
+    void check_gets_no_request(std::string const& recorded_state) {
+        auto const before = this->restarted->target->run_count();
+        this->fleet.configure(2, 1);
+        CHECK(wait_until([&] {
+            auto const answer =
+                this->fleet.call(*this->restarted, "/more0/1", std::to_string(++this->attempts));
+            return answer && answer->status != 404;
+        }));
+        for (int round = 0; round < 30; ++round) {
+            UNSIGNED_LONGS_EQUAL(503, this->status_of_call());
+        }
+        UNSIGNED_LONGS_EQUAL(before, this->restarted->target->run_count());
+        CHECK(this->is_recorded_as(recorded_state));
+    }
+};
+
+// Guards against a late heartbeat that a restarted node believes before it has read its record, and
+// by which it overwrites the record of the leaving (review/6, DRAIN).
+TEST(late_heartbeat, does_not_undo_a_deregistration) {
+    CHECK(restarted->target->deregister());
+    CHECK(wait_until([&] { return is_recorded_as("gone"); }));
+    restart_node_in_outage();
+    send_late_heartbeat();
+    end_outage();
+    check_gets_no_request("gone");
+}
+
+// Guards against the same for a leaving that was said by a heartbeat.
+TEST(late_heartbeat, does_not_undo_a_draining_heartbeat) {
+    restarted->target->stop_heartbeats();
+    CHECK(restarted->target->announce("draining", draining_sequence));
+    CHECK(wait_until([&] { return is_recorded_as("draining"); }));
+    restart_node_in_outage();
+    send_late_heartbeat();
+    end_outage();
+    check_gets_no_request("draining");
+}
+
+// Guards against the same for a leaving that was said in a response.
+TEST(late_heartbeat, does_not_undo_a_leaving_stated_in_a_response) {
+    restarted->target->stop_heartbeats();
+    restarted->target->set_leaving(true);
+    CHECK(wait_until([&] { return status_of_call() == 503; }));
+    CHECK(wait_until([&] { return is_recorded_as("draining"); }));
+    restart_node_in_outage();
+    send_late_heartbeat();
+    end_outage();
+    check_gets_no_request("draining");
+}
+
+// Guards against a late heartbeat that confirms the record of a ready target, because the store did
+// not take the leaving.
+TEST(late_heartbeat, does_not_undo_a_leaving_that_the_store_did_not_take) {
+    fleet.store().set_unavailable(true);
+    CHECK(restarted->target->deregister());
+    restart_node_in_outage();
+    send_late_heartbeat();
+    end_outage();
+    check_gets_no_request("ready");
+}
+
+// Guards against a deregistration that a restarted node acknowledges before it has read its record
+// and forgets, because the heartbeat before it was not in force yet.
+TEST(late_heartbeat, deregistration_after_it_is_recorded) {
+    restarted->target->stop_heartbeats();
+    restart_node_in_outage();
+    send_late_heartbeat();
+    CHECK(restarted->target->deregister());
+    end_outage();
+    CHECK(wait_until([&] { return is_recorded_as("gone"); }));
+    check_gets_no_request("gone");
+}
+
+// Guards against a target that starts anew under its id after it has left, and is not used because
+// the record of its earlier process shows the leaving.
+TEST(late_heartbeat, target_that_starts_anew_is_served) {
+    CHECK(restarted->target->deregister());
+    CHECK(wait_until([&] { return is_recorded_as("gone"); }));
+    restart_node_in_outage();
+    send_late_heartbeat();
+    CHECK(restarted->target->announce("ready", 1, seconds(10)));
+    end_outage();
+    CHECK(wait_until([&] { return status_of_call() == 200; }));
+    CHECK(wait_until([&] { return is_recorded_as("ready"); }));
+}
