--- a/libraries/moves/baseline_rate.h
+++ b/libraries/moves/baseline_rate.h
@@ -5,27 +5,29 @@
 #include "moves/recent_rate.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace peridot {
 
 /// The old version's rate with which a new version is compared that has no concurrent old calls.
 ///
-/// Answers a disturbance of both versions that is over: its rate is not the standard for the new
-/// version's next calls.
+/// Answers a disturbance of both versions that is over: its rate must not be the standard for the
+/// failures of the new version's next calls.
 class baseline_rate {
 public:
     /// Minimum number of calls for a comparison with the baseline.
     static constexpr std::uint64_t minimum_calls = 100;
 
-    /// See disturbance_detector for the highest usual rate.
-    explicit baseline_rate(double highest_usual_rate) : disturbance(highest_usual_rate) {}
+    /// See disturbance_detector for the highest usual rate. Without one, the calls of a disturbance
+    /// count like any others.
+    explicit baseline_rate(std::optional<double> highest_usual_rate);
 
     /// Adds the old version's next calls.
     void observe(event_sample sample);
 
-    /// The highest of the rate of any window and the recent rate, both without the calls during a
-    /// disturbance, and the rate of the latest calls. It accounts for dependencies that fail
-    /// intermittently, also for one that had begun to fail when the old version got its last calls.
+    /// The highest of the rate of any window, the recent rate and the rate of the latest calls. It
+    /// accounts for dependencies that fail intermittently, also for one that had begun to fail when
+    /// the old version got its last calls.
     double highest() const;
 
     /// The calls of the window with the highest rate, or of the first window until it is complete.
@@ -40,9 +42,13 @@
     bool is_usable() const { return this->observed_calls >= minimum_calls; }
 
 private:
+    bool is_left_out() const;
+
+    bool leaves_disturbance_out;
     std::uint64_t observed_calls = 0;
     disturbance_detector disturbance;
-    recent_rate undisturbed;
+    /// The calls that count.
+    recent_rate recent;
     event_sample window;
     event_sample highest_window;
 };
--- a/libraries/moves/rate_comparison_settings.h
+++ b/libraries/moves/rate_comparison_settings.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 
 namespace peridot {
 
@@ -18,9 +19,10 @@
     rate_tolerance baseline;
     /// Increases above the tolerance, as fractions of the difference between the tolerance and 1.
     std::array<double, alternative_count> increases{};
-    /// A rate of the old version above this is never its usual one, however long it lasts. It takes
-    /// the place of an unknown usual rate if the old version is disturbed from the first call.
-    double highest_usual_rate = 1;
+    /// A rate of the old version above this is never its usual one, however long it lasts, and the
+    /// calls of a disturbance do not count for the baseline. Without a value they count, so that a
+    /// new version is accepted that is no worse than the old one at its worst.
+    std::optional<double> highest_usual_rate;
 };
 
 } // namespace peridot
--- a/tests/moves/baseline_rate_test.cpp
+++ b/tests/moves/baseline_rate_test.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <optional>
+
 using namespace peridot;
 
 namespace {
@@ -67,6 +69,16 @@
     CHECK(baseline.highest() < usual + 0.02);
 }
 
+// Guards against a good version that is taken back for being as slow as the old one was at its
+// worst (move_decision, slow dependency: 34 % taken back).
+TEST(baseline_rate, disturbance_counts_without_a_highest_usual_rate) {
+    baseline_rate of_latency{std::nullopt};
+    observe(of_latency, 50, 0);
+    observe(of_latency, 200, 3);
+    observe(of_latency, 30, 0);
+    CHECK(of_latency.highest() > 0.25);
+}
+
 // Guards against a good version that is taken back for a disturbance that had begun with the old
 // version's last calls.
 TEST(baseline_rate, disturbance_that_lasts_is_the_baseline) {
