sidecar: take no row of an earlier era for the stored record

The log has no target_recorded_again at the node, which had learnt the new era and then got rows from another node.

Cause, since the record is merged whenever a row arrives: a row of the era before that arrives late made the lost record count as stored. Such a row is now treated as missing, and what is known of a later era is not replaced.

--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -123,7 +123,7 @@
         if (!this->tracker.current() || era <= this->recorded_era) {
             return;
         }
-        auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
+        auto const* row = this->stored_row();
         this->set_recorded(row == nullptr ? std::string() : row->value, era);
         if (this->is_record_outdated() && !this->is_recording) {
             log::write(log::level::info, "target_recorded_again",
@@ -133,14 +133,27 @@
         }
     }
 
+    // What is known of a later era stays.
     void set_recorded(std::string text, std::uint64_t era) {
+        if (era < this->recorded_era) {
+            return;
+        }
         this->recorded_text = std::move(text);
         this->recorded_era = era;
     }
 
+    // Returns the node's row. A row of an earlier era that arrives late, from a node that had read
+    // it before the store came back from a copy, is not in the store.
+    replica_row const* stored_row() const {
+        auto const& rows = this->fleet.rows();
+        auto const* row = rows.find(fleet_keys::table, this->key());
+        bool const is_lost = row != nullptr && row->revision.era < rows.era(fleet_keys::table);
+        return is_lost ? nullptr : row;
+    }
+
     // Compares the target with the node's record, which an earlier process may have written.
     target_change merge_record() {
-        auto const* row = this->fleet.rows().find(fleet_keys::table, this->key());
+        auto const* row = this->stored_row();
         if (row == nullptr) {
             return this->fleet.has_read_members() ? this->tracker.confirm_unrecorded()
                                                   : target_change::ignored;
