mesh: let two heartbeats from before the read confirm a recorded target

A late heartbeat from before a leaving is one; two with different numbers come from a target that goes on.

--- a/libraries/mesh/target_tracker.cpp
+++ b/libraries/mesh/target_tracker.cpp
@@ -59,6 +59,9 @@
         next.state = target_state::gone;
     }
     if (!this->is_record_known && is_in_service(next.state)) {
+        bool const is_same = this->deferred && is_same_process(*this->deferred, next);
+        this->is_deferred_repeatedly =
+            is_same && (this->is_deferred_repeatedly || this->deferred->sequence < next.sequence);
         this->deferred = std::move(next);
         return target_change::deferred;
     }
@@ -131,7 +134,8 @@
     if (restored.started_ms > announced.started_ms) {
         return this->await_or_use(restored);
     }
-    if (this->deferred && is_same_process(restored, announced) && is_in_service(restored.state)) {
+    bool const is_unconfirmed = this->deferred && !this->is_deferred_repeatedly;
+    if (is_unconfirmed && is_same_process(restored, announced) && is_in_service(restored.state)) {
         target_record next = restored;
         next.sequence = announced.sequence;
         return this->await_or_use(std::move(next));
--- a/libraries/mesh/target_tracker.h
+++ b/libraries/mesh/target_tracker.h
@@ -50,7 +50,7 @@
     /// does not become ready again, and one that started later replaces the announced one.
     /// A target that is recorded as in service is only awaited until it announces itself after
     /// that: the earlier process may have acknowledged that it leaves, without being able to record
-    /// it, and a deferred announcement may be from before the leaving.
+    /// it, and a single deferred announcement may be from before the leaving.
     target_change restore(target_record const& recorded);
 
     /// Notes that no earlier process has recorded a target of this node.
@@ -82,6 +82,8 @@
     std::optional<target_record> unconfirmed;
     /// A target in service that has announced itself before the record was known.
     std::optional<target_record> deferred;
+    /// Whether it has announced itself more than once, which one late heartbeat does not.
+    bool is_deferred_repeatedly = false;
     bool is_record_known = false;
     std::deque<deregistration> deregistrations;
 };
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -221,6 +221,24 @@
     CHECK(tracker.current()->state == target_state::ready);
 }
 
+// Guards against a target that waits for one more heartbeat than a late one could explain: after a
+// power loss with a slow store, whole services waited for it (zampa-mesh, scale-1).
+TEST(target_tracker_without_record, repeated_heartbeats_confirm_the_recorded_target) {
+    tracker.announce(heartbeat("i-1", 100, 4));
+    tracker.announce(heartbeat("i-1", 100, 5));
+    tracker.announce(heartbeat("i-1", 100, 5));
+    CHECK(tracker.restore(heartbeat("i-1", 100, 0)) == target_change::updated);
+    CHECK(tracker.current()->state == target_state::ready);
+}
+
+// Guards against a repeated heartbeat that is taken for two.
+TEST(target_tracker_without_record, heartbeat_that_arrives_twice_confirms_no_target) {
+    tracker.announce(heartbeat("i-1", 100, 4));
+    tracker.announce(heartbeat("i-1", 100, 4));
+    CHECK(tracker.restore(heartbeat("i-1", 100, 0)) == target_change::none);
+    CHECK_FALSE(tracker.current().has_value());
+}
+
 // Guards against a target of a new node that is never used, since no record of it exists.
 TEST(target_tracker_without_record, heartbeat_takes_effect_if_there_is_no_record) {
     CHECK(tracker.announce(heartbeat("i-1", 100, 4)) == target_change::deferred);
