--- a/libraries/mesh/rollout_controller.cpp
+++ b/libraries/mesh/rollout_controller.cpp
@@ -43,6 +43,7 @@
         if (auto const* back = std::get_if<take_back>(&verdict)) {
             return *back;
         }
+        auto const summary = this->rollout_judge.summary();
         auto const sum = pooled(totals);
         this->intake.observe(current.share, sum, now);
         this->failures.observe(sum, now);
@@ -50,15 +51,15 @@
         if (auto const* raise = std::get_if<step_raise>(&verdict)) {
             rollout next = current;
             next.step = raise->step;
-            return this->take_step(this->next_step(next, seen));
+            return this->take_step(this->next_step(next, summary, seen));
         }
-        if (this->is_comparison_over(current, now)) {
+        if (this->is_comparison_over(current, summary, now)) {
             return this->take_step({current.step, 1});
         }
-        if (this->is_complete(current, now)) {
+        if (this->is_complete(current, summary, now)) {
             return rollout_completion{};
         }
-        return this->limit_exposure(current, seen, now);
+        return this->limit_exposure(current, summary, seen, now);
     }
 
     judge_summary summary() const { return this->rollout_judge.summary(); }
@@ -75,10 +76,14 @@
     }
 
     // Takes a suspected version back or reduces its share, before it gets too many requests.
-    decision limit_exposure(rollout const& current, rollout_traffic const& seen, milliseconds now) {
-        auto const summary = this->rollout_judge.summary();
+    decision limit_exposure(rollout const& current, judge_summary const& summary,
+                            rollout_traffic const& seen, milliseconds now) {
         bool const is_used_up = is_exposure_used_up(current, seen, this->limits);
-        this->update_suspicion(current, is_used_up, now);
+        bool const is_late = now >= current.started + current.duration;
+        // A suspicion counts once the share cannot be raised any more to confirm or to dispel it.
+        bool const is_final =
+            is_used_up || this->is_stepped_back || is_last_step(current) || is_late;
+        this->update_suspicion(summary.is_holding && is_final, now);
         bool const is_suspicion_final =
             this->suspected_since && is_suspicion_over(*this->suspected_since, now);
         bool const is_comparison_failed = this->comparison_since && summary.is_step_judged &&
@@ -100,27 +105,24 @@
         return no_change{};
     }
 
-    // A suspicion counts once the share cannot be raised any more to confirm or to dispel it.
-    void update_suspicion(rollout const& current, bool is_used_up, milliseconds now) {
-        bool const is_late = now >= current.started + current.duration;
-        bool const is_final =
-            is_used_up || this->is_stepped_back || is_last_step(current) || is_late;
-        if (this->rollout_judge.summary().is_holding && is_final) {
+    void update_suspicion(bool is_suspected, milliseconds now) {
+        if (is_suspected) {
             this->suspected_since = this->suspected_since.value_or(now);
         } else {
             this->suspected_since.reset();
         }
     }
 
-    rollout_step next_step(rollout const& next, rollout_traffic const& seen) const {
-        bool const is_compared =
-            is_last_step(next) && this->rollout_judge.summary().is_old_version_failing;
+    rollout_step next_step(rollout const& next, judge_summary const& summary,
+                           rollout_traffic const& seen) const {
+        bool const is_compared = is_last_step(next) && summary.is_old_version_failing;
         return is_compared ? last_step_in_disturbance(next)
                            : rollout_step{next.step, step_share(next, seen, this->limits)};
     }
 
     // Whether a last step with a part of the requests has shown that the version is good.
-    bool is_comparison_over(rollout const& current, milliseconds now) {
+    bool is_comparison_over(rollout const& current, judge_summary const& summary,
+                            milliseconds now) {
         if (!is_last_step(current) || current.share >= 1) {
             this->comparison_since.reset();
             return false;
@@ -129,7 +131,6 @@
             this->comparison_since = now;
             this->was_compared = true;
         }
-        auto const summary = this->rollout_judge.summary();
         return summary.is_step_judged && !this->failures.is_rising() &&
                can_end_comparison(*this->comparison_since, now, summary.e_value);
     }
@@ -142,7 +143,7 @@
         return next;
     }
 
-    bool is_complete(rollout const& current, milliseconds now) {
+    bool is_complete(rollout const& current, judge_summary const& summary, milliseconds now) {
         // A version that is reached again has to show with all requests that it is good.
         if (current.share < 1 || this->intake.is_missing()) {
             this->last_step_since.reset();
@@ -151,7 +152,6 @@
         if (!this->last_step_since) {
             this->last_step_since = now;
         }
-        auto const summary = this->rollout_judge.summary();
         bool const is_judged = summary.is_step_judged || is_completion_due(current, now);
         bool const has_lasted =
             this->was_compared ? can_complete_after_comparison(current, *this->last_step_since, now)
--- a/libraries/moves/disturbance_detector.h
+++ b/libraries/moves/disturbance_detector.h
@@ -15,7 +15,7 @@
 public:
     /// A rate above the given one does not count as usual, also if the old version never had a
     /// lower one.
-    explicit disturbance_detector(double highest_usual_rate = 1);
+    explicit disturbance_detector(double highest_usual_rate);
 
     /// Adds the old version's next calls.
     void observe(event_sample sample);
--- a/libraries/sidecar/target_announcements.cpp
+++ b/libraries/sidecar/target_announcements.cpp
@@ -105,8 +105,6 @@
         this->observe_awaited_target();
         if (change == target_change::updated) {
             asio::co_spawn(this->context, apply_merged(this->shared_from_this()), asio::detached);
-        } else if (this->is_record_outdated()) {
-            this->start_recording();
         }
     }
 
@@ -167,7 +165,12 @@
             return this->tracker.confirm_unrecorded();
         }
         this->set_recorded(encode_member(value(recorded)), row->revision.era);
-        return this->tracker.restore(value(recorded).target);
+        auto const change = this->tracker.restore(value(recorded).target);
+        // A late write of an earlier process may have replaced the current record.
+        if (change != target_change::updated && this->is_record_outdated()) {
+            this->start_recording();
+        }
+        return change;
     }
 
     static asio::awaitable<void> apply_merged(std::shared_ptr<implementation> self) {
--- a/tests/mesh/decisions_test.cpp
+++ b/tests/mesh/decisions_test.cpp
@@ -222,7 +222,7 @@
 }
 
 // Guards against a target that waits for one more heartbeat than a late one could explain: after a
-// power loss with a slow store, whole services waited for it (zampa-mesh, scale-1).
+// power loss with a slow store, whole services waited for it.
 TEST(target_tracker_without_record, repeated_heartbeats_confirm_the_recorded_target) {
     tracker.announce(heartbeat("i-1", 100, 4));
     tracker.announce(heartbeat("i-1", 100, 5));
--- a/tests/processes/sidecar/target_restart_test.cpp
+++ b/tests/processes/sidecar/target_restart_test.cpp
@@ -10,40 +10,52 @@
 using namespace peridot;
 using namespace peridot::processes;
 
-// A target whose node is restarted while the target continues to run.
-TEST_GROUP(target_restart) {
-    sidecar_fleet fleet;
-    mesh_instance* caller = nullptr;
-    mesh_instance* restarted = nullptr;
-    int attempts = 0;
-
-    void setup() override {
-        this->fleet.configure(1);
-        this->caller = &this->fleet.add("plants");
-        this->restarted = &this->fleet.add("deposits");
-        CHECK(wait_until([&] { return this->status_of_call() == 200; }));
-    }
+namespace {
 
+// A fleet with one target, whose node is restarted, and a caller of it.
+class restarted_node_test : public Utest {
+public:
     void teardown() override {
         if (UtestShell::getCurrent()->hasFailed()) {
             this->fleet.print_logs(std::cout);
         }
     }
 
+protected:
+    void wait_until_served() {
+        CHECK(wait_until([&] { return this->status_of_call() == 200; }));
+    }
+
     unsigned status_of_call() {
         auto const answer = this->fleet.call(*this->caller, "/pay/1",
                                              "attempt-" + std::to_string(++this->attempts));
         return answer ? answer->status : 0;
     }
 
-    // Restarts the node and waits until it accepts requests.
-    void restart_node() {
-        this->restarted->node->end();
-        this->fleet.restart(*this->restarted);
-        CHECK(wait_until([&] { return this->fleet.is_ready(*this->restarted); }));
-    }
+    sidecar_fleet fleet;
+    mesh_instance* caller = nullptr;
+    mesh_instance* restarted = nullptr;
+    int attempts = 0;
 };
 
+} // namespace
+
+// A target whose node is restarted while the target continues to run.
+TEST_GROUP_BASE(target_restart, restarted_node_test){void setup() override{this->fleet.configure(1);
+this->caller = &this->fleet.add("plants");
+this->restarted = &this->fleet.add("deposits");
+this->wait_until_served();
+}
+
+// Restarts the node and waits until it accepts requests.
+void restart_node() {
+    this->restarted->node->end();
+    this->fleet.restart(*this->restarted);
+    CHECK(wait_until([&] { return this->fleet.is_ready(*this->restarted); }));
+}
+}
+;
+
 // Guards against a leaving that is acknowledged while the store takes no writes, and forgotten by
 // the next process of the node, which reads the older record: requests reached the target long
 // after it had left.
@@ -71,32 +83,15 @@
 
 // A target that leaves, whose node is then restarted while the store is out. The node knows no
 // other node, so it cannot read its record before the store is back.
-TEST_GROUP(late_heartbeat) {
+TEST_GROUP_BASE(late_heartbeat, restarted_node_test) {
     static constexpr std::uint64_t late_sequence = 1;
     static constexpr std::uint64_t draining_sequence = 1'000'000;
 
-    sidecar_fleet fleet;
-    mesh_instance* restarted = nullptr;
-    mesh_instance* caller = nullptr;
-    int attempts = 0;
-
     void setup() override {
         this->fleet.configure(1);
         this->restarted = &this->fleet.add("deposits");
         this->caller = &this->fleet.add("plants");
-        CHECK(wait_until([&] { return this->status_of_call() == 200; }));
-    }
-
-    void teardown() override {
-        if (UtestShell::getCurrent()->hasFailed()) {
-            this->fleet.print_logs(std::cout);
-        }
-    }
-
-    unsigned status_of_call() {
-        auto const answer = this->fleet.call(*this->caller, "/pay/1",
-                                             "attempt-" + std::to_string(++this->attempts));
-        return answer ? answer->status : 0;
+        this->wait_until_served();
     }
 
     bool is_recorded_as(std::string const& state) {
--- a/tests/sidecar/rollout_exposure_test.cpp
+++ b/tests/sidecar/rollout_exposure_test.cpp
@@ -78,12 +78,28 @@
     // after the 50th request that it failed.
     std::uint64_t served_late() {
         return count([](simulated_outcome const& outcome) {
+            if (!outcome.many_failed_at) {
+                return false;
+            }
             bool const is_ended_in_time = outcome.phase == rollout_phase::rolled_back &&
                                           outcome.ended <= *outcome.many_failed_at + rollback_time;
-            return outcome.many_failed_at && !is_ended_in_time;
+            return !is_ended_in_time;
         });
     }
 
+    // The version is bad only with all requests, beside failures of both versions for a while.
+    void fail_with_all_requests(milliseconds dependency_from, milliseconds dependency_until) {
+        this->given.failure_share = 0.5;
+        this->given.bad_from_share = 0.6;
+        this->fail_both(0.24, dependency_from, dependency_until);
+    }
+
+    void fail_both(double share, milliseconds from, milliseconds until) {
+        this->given.dependency_failures = share;
+        this->given.dependency_fails_from = from;
+        this->given.dependency_fails_until = until;
+    }
+
     // The false-alarm goal: at most one good version in 200.
     void check_is_completed() {
         CHECK_COMPARE(completed_in_time(), >=, 119U);
@@ -169,12 +185,8 @@
 // Guards against a version that is bad only with all requests and gets them while both versions
 // fail: it was judged against the failures of the disturbance and completed (review/9, EXPOSURE).
 TEST(rollout_exposure, version_that_fails_with_all_requests_is_taken_back_after_a_disturbance) {
-    given.failure_share = 0.5;
-    given.bad_from_share = 0.6;
-    given.dependency_failures = 0.24;
-    given.dependency_fails_from = seconds(4);
     for (auto const until : {seconds(10), seconds(12), seconds(14)}) {
-        given.dependency_fails_until = until;
+        fail_with_all_requests(seconds(4), until);
         check_is_taken_back();
         CHECK_COMPARE(served_late(), <=, 1U);
     }
@@ -183,21 +195,14 @@
 // Guards against the same if both versions fail already when the roll-out begins, so that no usual
 // rate is known.
 TEST(rollout_exposure, version_that_fails_with_all_requests_is_taken_back_if_ordered_in_trouble) {
-    given.failure_share = 0.5;
-    given.bad_from_share = 0.6;
-    given.dependency_failures = 0.24;
-    given.dependency_fails_until = seconds(11);
+    fail_with_all_requests(seconds(0), seconds(11));
     check_is_taken_back();
     CHECK_COMPARE(served_late(), <=, 1U);
 }
 
 // Guards against a verdict that never comes while both versions fail until the end.
 TEST(rollout_exposure, version_that_fails_with_all_requests_is_taken_back_during_a_disturbance) {
-    given.failure_share = 0.5;
-    given.bad_from_share = 0.6;
-    given.dependency_failures = 0.24;
-    given.dependency_fails_from = seconds(4);
-    given.dependency_fails_until = seconds(100);
+    fail_with_all_requests(seconds(4), seconds(100));
     check_is_taken_back();
     CHECK_COMPARE(served_late(), <=, 3U);
 }
@@ -206,25 +211,20 @@
 // one, which fails as well.
 TEST(rollout_exposure, failing_version_is_taken_back_during_a_disturbance) {
     given.failure_share = 0.5;
-    given.dependency_failures = 0.24;
-    given.dependency_fails_from = seconds(2);
-    given.dependency_fails_until = seconds(100);
+    fail_both(0.24, seconds(2), seconds(100));
     check_is_taken_back();
 }
 
 // Guards against a good version that is taken back or late because both versions fail for a while.
 TEST(rollout_exposure, good_version_is_completed_in_time_after_a_disturbance) {
-    given.dependency_failures = 0.24;
-    given.dependency_fails_from = seconds(4);
-    given.dependency_fails_until = seconds(11);
+    fail_both(0.24, seconds(4), seconds(11));
     check_is_completed();
 }
 
 // Guards against a good version that is never completed because both versions fail until the end.
 TEST(rollout_exposure, good_version_is_completed_during_a_disturbance) {
     for (auto const failures : {0.15, 0.24, 0.4}) {
-        given.dependency_failures = failures;
-        given.dependency_fails_until = seconds(100);
+        fail_both(failures, seconds(0), seconds(100));
         CHECK_COMPARE(completed(), >=, 119U);
     }
 }
